--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,935 @@
+// gatetiller: all decisions of one front. The interface (settings, events, actions) is in brain.hpp.
+// Reading order: constants, Algorithm 1, tables, the guard, estimates and streams, health, pick and cap,
+// slots, giving up, events, timers. Times are microseconds; work is core-microseconds.
+#include "brain.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/math/special_functions/digamma.hpp>
+#include <boost/math/special_functions/trigamma.hpp>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <unordered_map>
+
+namespace gatetiller {
+namespace {
+
+// ---- Constants
+
+constexpr Micros kMs = 1000, kSecond = 1000 * kMs;
+
+// The design's figures (the paper's defaults where it has them).
+constexpr double kZeta = 0.95, kTheta = 0.98;  // allowed range of U/target
+constexpr double kGamma = 0.05, kBeta = 0.25;  // steps of alpha: down by gamma/CV, up by the factor 1+beta
+constexpr double kAlphaLow = 0.05, kAlphaHigh = 0.95;
+constexpr double kTarget = 0.05;  // disengagement allowed: one answer in ten after its aim
+constexpr double kHalf = 0.5;     // the staircase between aim and deadline
+constexpr int kBisections = 12;   // the paper's precision: 1/4096 of the range
+constexpr std::size_t kWindowCount = 1000;
+constexpr Micros kWindowSpan = 10 * kSecond;
+constexpr std::size_t kFewSamples = 10;          // with fewer, CV is taken as 1 and S from estimates
+constexpr double kCvLow = 0.03, kCvHigh = 20;    // beyond these the shape is flat or a spike for any use
+constexpr double kSensitiveRun = 1.0 * kSecond;  // usual run time of a sensitive class is under this
+constexpr double kSwitch = 0.1;                  // a class changes side only past the limit by this share
+constexpr double kThreadsPerCore = 3, kLeastCap = 2;  // C: the design's start values
+
+// Pressure and weight.
+constexpr double kSlowPressure = 2;          // latency over best at which an engine is under pressure
+constexpr double kBusyShare = 0.9;           // reported share of cores, disks or memory that counts as busy
+constexpr Micros kFullFor = 200 * kMs;       // a "busy" answer binds C for this long, about a report period
+constexpr Micros kReportLife = 3 * kSecond;  // an older load report says nothing
+constexpr double kMemoryFill = 0.95;         // own grants past this share of an engine's memory: full
+constexpr double kOtherZone = 1.5;           // weight of an engine in another zone, where crossing costs
+constexpr std::size_t kScan = 8;             // held requests looked at per side when the first can't go
+
+// Health.
+constexpr double kSmooth = 0.1;  // EWMA step of ratios: about the last ten
+constexpr double kErrorStep = 0.15, kErrorTrial = 0.1, kErrorShun = 0.25;  // two errors in a row shun
+constexpr Micros kShunFirst = 500 * kMs, kShunMost = 4 * kSecond;
+constexpr double kSilentNotes = 2.5;  // note periods without any sign of life: silent
+constexpr double kTimeOutRuns = 4,
+                 kTimeOutAim = 0.6;  // where nothing can be called off, a try ends after these
+
+// Rules.
+constexpr double kColdMargin = 0.6;         // of this front's part of a cold engine's budget: speeds vary
+constexpr double kCapacityBusy = 0.85;      // capacity is counted at this share of the cores
+constexpr Micros kAnswerMargin = 15 * kMs;  // final answers go out this long before the client gives up
+constexpr Micros kTick = 25 * kMs, kFitEvery = 500 * kMs, kAlphaEvery = kSecond, kProbeEvery = kSecond;
+constexpr double kAskShare = 0.25;  // list calls are repeated after this share of ask_within
+
+}  // namespace
+
+// ---- Algorithm 1: the generalized exponential F(x) = (1 - exp(-x/omega))^phi, paper section 3.1 and 3.2
+// --------
+
+namespace {
+double mean_factor(double phi) {
+    return boost::math::digamma(phi + 1) - boost::math::digamma(1.0);
+}
+double variance_factor(double phi) {
+    return boost::math::trigamma(1.0) - boost::math::trigamma(phi + 1);
+}
+
+double cdf(double x, double phi, double omega) {
+    return x <= 0 ? 0 : std::exp(phi * std::log1p(-std::exp(-x / omega)));
+}
+}  // namespace
+
+double gexp_shape(double cv) {
+    cv = std::clamp(cv, kCvLow, kCvHigh);
+    double low = -14, high = 60;  // of log phi; CV falls as phi grows
+    for (int i = 0; i < 60; ++i) {
+        const double middle = (low + high) / 2, phi = std::exp(middle);
+        (std::sqrt(variance_factor(phi)) / mean_factor(phi) > cv ? low : high) = middle;
+    }
+    return std::exp((low + high) / 2);
+}
+
+double gexp_cdf(double x, double mean, double cv) {
+    const double phi = gexp_shape(cv);
+    return cdf(x, phi, mean / mean_factor(phi));
+}
+
+double mean_latency_budget(double cv, double aim, double deadline, double target) {
+    const double phi = gexp_shape(cv), factor = mean_factor(phi);
+    double low = 0, high = deadline, mean = 0;
+    for (int i = 0; i < kBisections; ++i) {
+        mean = (low + high) / 2;
+        const double by_aim = cdf(aim, phi, mean / factor), by_end = cdf(deadline, phi, mean / factor);
+        const double eta = ((by_end - by_aim) * kHalf + (1 - by_end)) / target;
+        if (eta >= kZeta && eta <= kTheta) break;
+        (eta < kZeta ? low : high) = mean;
+    }
+    return mean;
+}
+
+double next_alpha(double alpha, double worst, double best, double mean_cv) {
+    if (worst > kTheta)
+        alpha *= 1 + kBeta;
+    else if (worst < kTheta && best < kZeta)
+        alpha -= kGamma / std::max(mean_cv, kCvLow);
+    return std::clamp(alpha, kAlphaLow, kAlphaHigh);
+}
+
+// ---- Tables
+
+namespace {
+
+struct Attempt {
+    int engine = -1;
+    Micros sent = 0;
+    double work = 0, threads = 0, memory = 0;  // as expected when sent
+    double progress = 0;
+    bool open = true;
+};
+
+struct Request {
+    std::string id, key;
+    int cls = 0, tenant = 0;
+    Micros arrival = 0, deadline = 0, due = 0, aim = 0;  // aim and due as clock times
+    double cost = 0, raw_cost = 0, memory = 0, raw_memory = 0;
+    std::int64_t group = 0;
+    std::uint64_t seq = 0;
+    bool used = false, over_share = false, queued = false, finished = false, streaming = false,
+         in_line = false;
+    Micros not_before = 0;
+    std::vector<Attempt> attempts;
+    int bound_to = -1;       // engine of the first attempt that may have run
+    Micros bound_since = 0;  // and when it was sent
+    int priority = -1;
+
+    bool attempt_out() const {
+        return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
+    }
+};
+
+struct Sent {
+    Micros at;
+    double work;
+};
+
+struct Engine {
+    EngineEntry entry;
+    bool listed = false;
+    double cores = 1, memory = 0;
+    std::vector<std::pair<int, int>> out;  // slot and attempt of what is out there
+    std::vector<Sent> zombies;             // given up but perhaps still running: until when, and threads
+    double threads = 0, granted = 0;
+    std::deque<Sent> cold;  // sent while cold, in the last window
+    Report report;
+    Micros reported = -kReportLife;
+    int out_at_report = 0;
+    double slow = 1;    // latency over expected run time
+    double errors = 0;  // recent share of errors
+    Micros shun_until = 0, shun_for = 0, full_until = 0, alive = 0, probed = 0;
+};
+
+struct ClassState {
+    double cost_ratio = 1, memory_ratio = 1;  // true over estimate
+    double work = 0, raw = 0, memory = 0;     // usual work, usual estimate, usual memory
+    bool sensitive = false;
+    double usual_run(double threads) const { return work / threads; }
+};
+
+struct Usual {
+    double work = 0, memory = 0, threads = 1;
+};
+
+struct Sample {
+    Micros at;
+    double latency, engine_time, disengaged;
+};
+
+struct Stream {
+    std::deque<Sample> window;
+    double latency = 0, square = 0, engine_time = 0, disengaged = 0;  // sums over the window
+    double cv = 1, service = 0, budget = 0;                           // as of the last fit
+};
+
+struct Key {  // a place in a queue: within share first, then by due time
+    bool over_share;
+    Micros due;
+    std::uint64_t seq;
+    int slot;
+    auto operator<=>(const Key&) const = default;
+};
+
+struct Tenant {
+    std::set<Key> queue;  // best-effort requests held
+    double pass = 0;      // best-effort work served over share: least is next in the round
+    double tokens = 0;    // requests still within the share
+    Micros filled = 0;
+};
+
+bool holds(const std::optional<std::vector<std::string>>& list, const std::string& name) {
+    return !list || std::find(list->begin(), list->end(), name) != list->end();
+}
+bool never_ran(Outcome o) {
+    return o == Outcome::busy || o == Outcome::econnrefused || o == Outcome::skipped;
+}
+void approach(double& value, double seen, double step = kSmooth) {
+    value += step * (seen - value);
+}
+
+}  // namespace
+
+class Brain::Front {
+public:
+    std::vector<Action> actions;
+    double alpha = 0.5;
+
+private:
+    Settings s;
+    Micros now;
+    std::mt19937_64 rng;
+    std::vector<Engine> engines;
+    std::map<EngineId, int> engine_index;
+    std::vector<Request> requests;
+    std::vector<int> spare;
+    std::unordered_map<std::string, int> ids;
+    std::vector<ClassState> classes;
+    std::vector<Tenant> tenants;  // one at least, for sites without
+    std::vector<Stream> streams;
+    std::set<Key> sensitive;
+    std::map<std::string, std::deque<int>> lines;  // requests of a key, in turn
+    std::map<std::string, Micros> rests;           // a key rests until then
+    std::deque<Micros> taken, further;             // for the budget of attempts
+    std::uint64_t seq = 0;
+    std::uint64_t first_sensitive = 0, first_all = 0;
+    bool subscribed = false;
+    Micros asked = 0, fitted = 0, moved = 0;
+
+    double run_time(const Request& r) const { return r.cost / s.classes[r.cls].threads; }
+    Usual usual;  // of one query, whatever its class
+
+    Stream& stream_of(const Request& r) { return streams[r.cls * tenants.size() + r.tenant]; }
+    double uniform() { return static_cast<double>(rng() >> 11) * 0x1p-53; }
+
+public:
+    Front(Micros at, std::uint64_t seed, Settings settings) : s(std::move(settings)), now(at), rng(seed) {
+        if (s.classes.empty()) throw std::invalid_argument("settings without classes");
+        for (const ClassSettings& c : s.classes)
+            if (c.threads <= 0 || c.deadline <= 0 || c.aim <= 0 || c.aim > c.deadline)
+                throw std::invalid_argument("class " + c.name +
+                                            ": aim, deadline and threads contradict each other");
+        if (s.siblings < 1) throw std::invalid_argument("settings without a single front");
+        classes.resize(s.classes.size());
+        tenants.resize(std::max<std::size_t>(1, s.tenants.size()));
+        for (Tenant& t : tenants) t.filled = now, t.tokens = 1;
+        streams.resize(classes.size() * tenants.size());
+        fitted = moved = now;
+    }
+
+    void start() {
+        if (s.ask_discovery) actions.push_back(Observe{}), asked = now;
+        actions.push_back(SetTimer{kTick, 0});
+    }
+
+    // ---- The guard: the only path that sends, refuses or fails keeps the seven rules
+    // --------------------------------
+
+    bool is_cold(const Engine& e) const { return e.entry.came_up > 0 && now < e.entry.came_up + s.warm_up; }
+
+    double cold_budget(const Engine& e) const {
+        return kColdMargin * s.overload_factor * s.cold_share * kCapacityBusy * e.cores *
+               static_cast<double>(s.overload_for) / s.siblings;
+    }
+
+    bool may_try_again(const Request& r) const {
+        if (r.finished || r.streaming || now >= r.deadline) return false;
+        if (!s.may_duplicate && r.attempt_out()) return false;
+        if (static_cast<int>(r.attempts.size()) >= s.attempts_cap) return false;
+        if (r.bound_to >= 0) {  // something may have run
+            if (s.classes[r.cls].effect == Effect::once) return false;
+            if (s.classes[r.cls].effect == Effect::by_key && now >= r.bound_since + s.classes[r.cls].window)
+                return false;
+        }
+        if (!r.attempts.empty() && s.extra_free && s.extra_per_request) {
+            const double allowed = *s.extra_free + *s.extra_per_request * static_cast<double>(taken.size());
+            if (static_cast<double>(further.size() + 1) > allowed) return false;
+        }
+        return true;
+    }
+
+    bool has_turn(const Request& r) const {
+        if (!r.in_line) return true;
+        if (requests[lines.at(r.key).front()].seq != r.seq) return false;
+        const auto rest =
+            rests.find(r.key);  // only later requests rest, not further tries of the one that had the turn
+        return !r.attempts.empty() || rest == rests.end() || now >= rest->second;
+    }
+
+    bool may_send(const Request& r, int index) const {
+        const Engine& e = engines[index];
+        const ClassSettings& c = s.classes[r.cls];
+        if (!e.listed || e.entry.state != EngineState::on) return false;
+        if (!holds(c.served_on, e.entry.kind) || !holds(c.azs_open, e.entry.zone)) return false;
+        if (r.bound_to >= 0 && c.effect == Effect::by_key) {
+            const EngineEntry& first = engines[r.bound_to].entry;
+            if (c.key_scope == Scope::zone && first.zone != e.entry.zone) return false;
+            if (c.key_scope == Scope::cell && (first.cell != e.entry.cell || first.zone != e.entry.zone))
+                return false;
+        }
+        if (is_cold(e)) {
+            double sum = classes[r.cls].work;
+            for (const Sent& sent : e.cold) sum += sent.work;
+            if (sum > cold_budget(e)) return false;
+        }
+        return may_try_again(r);
+    }
+
+    bool may_refuse(const Request& r) const {
+        const ClassSettings& c = s.classes[r.cls];
+        if (c.effect == Effect::repeatable || (r.bound_to < 0 && !r.attempt_out())) return true;
+        return c.effect == Effect::by_key && c.key_scope == Scope::all;
+    }
+
+    void send(int slot, int index) {
+        Request& r = requests[slot];
+        if (!may_send(r, index)) return;
+        Engine& e = engines[index];
+        unqueue(slot);
+        const double most = s.largest_share * e.memory;
+        const double grant =
+            s.grants && r.memory > 0 ? std::min(r.memory * 1.25, most > 0 ? most : r.memory) : 0;
+        const int priority = priority_of(r);
+        if ((s.grants && grant > 0) || (s.priorities && priority != r.priority)) {
+            actions.push_back(Terms{r.id, grant, priority});
+            r.priority = priority;
+        }
+        actions.push_back(Send{r.id, e.entry.id, time_out(r, e)});
+        if (!r.attempts.empty()) further.push_back(now);
+        if (is_cold(e)) e.cold.push_back({now, classes[r.cls].work});
+        r.attempts.push_back({index, now, r.cost, s.classes[r.cls].threads, r.memory, 0, true});
+        e.out.emplace_back(slot, static_cast<int>(r.attempts.size()) - 1);
+        e.threads += r.attempts.back().threads;
+        e.granted += r.memory;
+    }
+
+    void end(int slot) {
+        Request& r = requests[slot];
+        if (r.finished) return;
+        unqueue(slot);
+        if (may_refuse(r)) {
+            const Micros hint =
+                static_cast<Micros>(static_cast<double>(s.max_retry_after) * (0.5 + 0.5 * uniform()));
+            actions.push_back(Refuse{r.id, s.retry_hints ? hint : 0});
+        } else {
+            actions.push_back(Fail{r.id});
+        }
+        r.finished = true;
+        if (s.may_cancel && !r.streaming)
+            for (std::size_t i = 0; i < r.attempts.size(); ++i)
+                if (r.attempts[i].open) actions.push_back(Cancel{r.id, static_cast<int>(i)});
+        free_if_over(slot);
+    }
+
+    // ---- Estimates and streams
+
+    void learn(Request& r, const Attempt& a, const Completed& c) {
+        ClassState& k = classes[r.cls];
+        if (c.work_ms > 0) {
+            if (r.raw_cost > 0)
+                approach(k.cost_ratio, std::clamp(c.work_ms * kMs / r.raw_cost, 0.05, 20.0), 0.03);
+            approach(k.work, c.work_ms * kMs, 0.03);
+            if (c.needed_mb > 0 && r.raw_memory > 0)
+                approach(k.memory_ratio, std::clamp(c.needed_mb / r.raw_memory, 0.05, 20.0), 0.03);
+        } else if (r.raw_cost > 0) {
+            // Costs aren't told: the ratio follows the 30th percentile of latency over estimate, where little
+            // contention is left in it.
+            const double seen = static_cast<double>(c.taken) * a.threads / r.raw_cost;
+            k.cost_ratio *= seen > k.cost_ratio ? 1 + 0.03 * 0.3 / 0.7 * 0.7 : 1 - 0.03 * 0.7;
+            k.cost_ratio = std::clamp(k.cost_ratio, 0.05, 20.0);
+            k.work = k.raw * k.cost_ratio;
+        }
+    }
+
+    void observe_latency(const Request& r, const Attempt& a, Micros time) {
+        Stream& t = stream_of(r);
+        const double latency = static_cast<double>(now - r.arrival);
+        const double u = now <= r.aim ? 0 : now <= r.deadline ? kHalf : 1;
+        t.window.push_back({now, latency, static_cast<double>(time), u});
+        t.latency += latency, t.square += latency * latency;
+        t.engine_time += static_cast<double>(time), t.disengaged += u;
+        const double expected = std::max(a.work / a.threads, 1.0 * kMs);
+        approach(engines[a.engine].slow, std::clamp(static_cast<double>(time) / expected, 0.2, 20.0));
+    }
+
+    void fit_stream(Stream& t, std::size_t cls) {
+        while (!t.window.empty() &&
+               (t.window.size() > kWindowCount || t.window.front().at < now - kWindowSpan)) {
+            const Sample& old = t.window.front();
+            t.latency -= old.latency, t.square -= old.latency * old.latency;
+            t.engine_time -= old.engine_time, t.disengaged -= old.disengaged;
+            t.window.pop_front();
+        }
+        const ClassSettings& c = s.classes[cls];
+        const double n = static_cast<double>(t.window.size());
+        const double run = classes[cls].usual_run(c.threads);
+        const bool few = t.window.size() < kFewSamples;
+        const double mean = few ? 0 : t.latency / n;
+        t.cv = few ? 1 : std::sqrt(std::max(0.0, t.square / n - mean * mean)) / std::max(mean, 1.0);
+        t.service = few ? run : t.engine_time / n;
+        const double deadline = static_cast<double>(c.deadline);
+        const double aim = std::min(static_cast<double>(c.aim) + c.aim_stretch * run, deadline);
+        t.budget = mean_latency_budget(t.cv, aim, deadline, kTarget);
+    }
+
+    void fit() {
+        for (std::size_t k = 0; k < classes.size(); ++k) {
+            const double run = classes[k].usual_run(s.classes[k].threads);
+            const double limit = kSensitiveRun * (classes[k].sensitive ? 1 + kSwitch : 1 - kSwitch);
+            const bool was = classes[k].sensitive;
+            classes[k].sensitive = run < limit;
+            if (was != classes[k].sensitive)  // move what is held to its new side
+                for (std::size_t i = 0; i < requests.size(); ++i)
+                    if (requests[i].queued && requests[i].cls == static_cast<int>(k)) {
+                        classes[k].sensitive = was, unqueue(static_cast<int>(i));
+                        classes[k].sensitive = !was, queue(static_cast<int>(i));
+                    }
+            for (std::size_t t = 0; t < tenants.size(); ++t) fit_stream(streams[k * tenants.size() + t], k);
+        }
+    }
+
+    void move_alpha() {
+        double worst = -1, best = 1e9, cv = 0, count = 0;
+        for (std::size_t i = 0; i < streams.size(); ++i) {
+            const Stream& t = streams[i];
+            if (!classes[i / tenants.size()].sensitive || t.window.size() < kFewSamples) continue;
+            const double eta = t.disengaged / static_cast<double>(t.window.size()) / kTarget;
+            worst = std::max(worst, eta), best = std::min(best, eta);
+            cv += t.cv, count += 1;
+        }
+        if (count > 0) alpha = next_alpha(alpha, worst, best, cv / count);
+    }
+
+    // ---- Health
+
+    // An engine that gives no use is left alone for a while that doubles, then tried with one request at a
+    // time.
+    void shun(Engine& e) {
+        if (now < e.shun_until) return;
+        e.shun_for = std::clamp(e.shun_for * 2, kShunFirst, kShunMost);
+        e.shun_until = now + e.shun_for;
+        e.errors = std::max(e.errors, kErrorShun);
+    }
+
+    void take_report(Engine& e, const std::optional<Report>& report) {
+        e.alive = now;
+        if (!report) return;
+        e.report = *report;
+        e.reported = now;
+        e.out_at_report = static_cast<int>(e.out.size());
+    }
+
+    void judge(Engine& e, const Completed& c, const Attempt& a) {
+        switch (c.outcome) {
+            case Outcome::done:
+                e.errors *= 1 - kErrorStep;
+                if (e.errors < kErrorTrial) e.shun_for = 0;
+                break;
+            case Outcome::err:
+                e.errors += kErrorStep * (1 - e.errors);
+                if (e.errors >= kErrorShun) shun(e);
+                break;
+            case Outcome::busy:
+                e.full_until = now + kFullFor;
+                break;
+            case Outcome::econnrefused:
+            case Outcome::econnreset:
+                shun(e);
+                break;
+            case Outcome::etimedout:
+                if (e.alive < a.sent) shun(e);  // no sign of life since: silent
+                approach(e.slow, 20.0 * kSmooth + e.slow);
+                break;
+            case Outcome::ecanceled:
+            case Outcome::skipped:
+                break;
+        }
+    }
+
+    bool ready(const Engine& e) const {
+        return now >= e.shun_until && (e.errors < kErrorTrial || e.out.empty());
+    }
+
+    double usual_slow() const {  // the median: what all share is no engine's fault
+        std::vector<double> all;
+        for (const Engine& e : engines)
+            if (e.listed) all.push_back(e.slow);
+        if (all.empty()) return 1;
+        std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
+        return std::max(1.0, all[all.size() / 2]);
+    }
+
+    // ---- Pick and cap
+
+    bool under_pressure(const Engine& e) const {
+        if (e.slow > kSlowPressure || now < e.full_until) return true;
+        if (now - e.reported > kReportLife) return false;
+        const Report& p = e.report;
+        return p.load_share.value_or(0) > kBusyShare || p.disks_busy.value_or(0) > kBusyShare ||
+               p.memory_granted.value_or(0) > kBusyShare || p.depth.value_or(0) >= 1;
+    }
+
+    // Queries of other fronts there, from a load report that is young enough.
+    double others(const Engine& e) const {
+        if (s.siblings < 2 || now - e.reported > kReportLife || !e.report.concurrent) return 0;
+        return std::max(0.0, *e.report.concurrent - e.out_at_report);
+    }
+
+    bool has_room(const Engine& e, const Request& r) const {
+        if (e.out.empty()) return true;
+        if (e.memory > 0 && e.granted + others(e) * usual.memory + r.memory > kMemoryFill * e.memory)
+            return false;
+        if (!under_pressure(e)) return true;
+        double threads = e.threads + s.classes[r.cls].threads;
+        for (const Sent& z : e.zombies) threads += z.work;
+        return threads <= std::max(kLeastCap, kThreadsPerCore * e.cores / s.siblings);
+    }
+
+    double load(const Engine& e, const Request& r) const {
+        double work = r.cost;
+        const ClassSettings& c = s.classes[r.cls];
+        for (const auto& [slot, n] : e.out) {
+            const Request& other = requests[slot];
+            const Attempt& a = other.attempts[n];
+            const double left = a.work * std::max(0.1, 1 - a.progress);
+            work += left;
+            if (other.group == r.group && s.classes[other.cls].holds_group &&
+                (c.yields_to_loads || c.holds_group))
+                work += left / a.threads * e.cores;  // it would stand still until that load ends
+        }
+        for (const Sent& z : e.zombies)
+            work += z.work * static_cast<double>(std::max<Micros>(0, z.at - now)) / 2;
+        work += others(e) * usual.work;
+        double capacity = e.cores;
+        if (is_cold(e) && s.warm_up > 0)
+            capacity *= s.cold_share + (1 - s.cold_share) * static_cast<double>(now - e.entry.came_up) /
+                                           static_cast<double>(s.warm_up);
+        const double slow = std::max(1.0, e.slow / usual_slow());
+        const bool crosses = s.cross_zone_price > 0 && e.entry.zone != s.zone;
+        return work / std::max(capacity, 0.1) * slow * (crosses ? kOtherZone : 1);
+    }
+
+    int pick(const Request& r) {
+        std::vector<int> able;
+        const int last = r.attempts.empty() ? -1 : r.attempts.back().engine;
+        int bad = 0, all = 0;
+        for (std::size_t i = 0; i < engines.size(); ++i)
+            if (engines[i].listed && engines[i].entry.state == EngineState::on)
+                ++all, bad += !ready(engines[i]);
+        const bool shared = bad * 2 > all;  // most look bad: the cause is likely shared, and none is shunned
+        for (int pass = 0; pass < 2 && able.empty(); ++pass)
+            for (std::size_t i = 0; i < engines.size(); ++i) {
+                const int e = static_cast<int>(i);
+                if ((shared || ready(engines[i])) && (e == last) == (pass == 1) && may_send(r, e) &&
+                    has_room(engines[i], r))
+                    able.push_back(e);
+            }
+        if (able.empty()) return -1;
+        const std::size_t a = static_cast<std::size_t>(uniform() * static_cast<double>(able.size()));
+        if (able.size() == 1) return able[a];
+        std::size_t b = static_cast<std::size_t>(uniform() * static_cast<double>(able.size() - 1));
+        if (b >= a) ++b;
+        return load(engines[able[a]], r) <= load(engines[able[b]], r) ? able[a] : able[b];
+    }
+
+    int priority_of(const Request& r) const {
+        if (r.over_share || now > r.aim) return 0;
+        return classes[r.cls].sensitive ? 3 : 1;
+    }
+
+    Micros time_out(const Request& r, const Engine& e) const {
+        const ClassSettings& c = s.classes[r.cls];
+        const Micros left = r.deadline - now;
+        if (s.may_cancel || c.effect == Effect::once ||
+            static_cast<int>(r.attempts.size()) + 1 >= s.attempts_cap)
+            return left;
+        const double patience = std::max(kTimeOutRuns * run_time(r) * std::max(1.0, usual_slow()),
+                                         kTimeOutAim * static_cast<double>(r.aim - r.arrival));
+        (void)e;
+        return patience + run_time(r) < static_cast<double>(left) ? static_cast<Micros>(patience) : left;
+    }
+
+    // ---- Slots: alpha splits them between earliest-due sensitive streams and best-effort tenants in turn
+    // --------------
+
+    void queue(int slot) {
+        Request& r = requests[slot];
+        if (r.queued || r.finished) return;
+        r.queued = true;
+        const Key key{r.over_share, r.due, r.seq, slot};
+        (classes[r.cls].sensitive ? sensitive : tenants[r.tenant].queue).insert(key);
+    }
+
+    void unqueue(int slot) {
+        Request& r = requests[slot];
+        if (!r.queued) return;
+        r.queued = false;
+        const Key key{r.over_share, r.due, r.seq, slot};
+        (classes[r.cls].sensitive ? sensitive : tenants[r.tenant].queue).erase(key);
+    }
+
+    bool serve_from(std::set<Key>& held) {
+        std::size_t looked = 0;
+        for (const Key& key : held) {
+            if (++looked > kScan) break;
+            const Request& r = requests[key.slot];
+            if (now < r.not_before) continue;
+            const int e = pick(r);
+            if (e < 0) continue;
+            if (!classes[r.cls].sensitive)
+                tenants[r.tenant].pass +=
+                    r.cost / std::max(s.tenants.empty() ? 1 : s.tenants[r.tenant].share, 0.01);
+            send(key.slot, e);
+            return true;
+        }
+        return false;
+    }
+
+    bool serve(bool from_sensitive) {
+        if (from_sensitive) return serve_from(sensitive);
+        std::vector<std::pair<double, std::size_t>>
+            turn;  // best-effort tenants, the least served for its share first
+        for (std::size_t t = 0; t < tenants.size(); ++t)
+            if (!tenants[t].queue.empty()) turn.emplace_back(tenants[t].pass, t);
+        std::sort(turn.begin(), turn.end());
+        return std::any_of(turn.begin(), turn.end(),
+                           [&](const auto& next) { return serve_from(tenants[next.second].queue); });
+    }
+
+    void dispatch() {
+        for (;;) {
+            const bool effort =
+                std::any_of(tenants.begin(), tenants.end(), [](const Tenant& t) { return !t.queue.empty(); });
+            if (sensitive.empty() && !effort) return;
+            const bool first = !effort || (!sensitive.empty() && uniform() < alpha);
+            if (!serve(first) && !serve(!first)) return;
+        }
+    }
+
+    // ---- The life of a request
+
+    void free_if_over(int slot) {
+        Request& r = requests[slot];
+        if (!r.used || !r.finished || r.attempt_out() || r.in_line) return;
+        ids.erase(r.id);
+        r.used = false;
+        spare.push_back(slot);
+    }
+
+    // Decides what an unfinished request with nothing out waits for: its turn, a slot, or its end.
+    void settle(int slot) {
+        Request& r = requests[slot];
+        if (r.finished || r.attempt_out() || r.queued) return;
+        if (!may_try_again(r)) return end(slot);
+        if (has_turn(r)) queue(slot);
+    }
+
+    void sweep() {
+        for (auto it = lines.begin(); it != lines.end();) {  // the head of a key's line goes once it is over
+            auto& line = it->second;
+            while (!line.empty() && requests[line.front()].finished &&
+                   !requests[line.front()].attempt_out()) {
+                requests[line.front()].in_line = false;
+                free_if_over(line.front());
+                line.pop_front();
+            }
+            if (!line.empty()) settle(line.front());
+            it = line.empty() ? lines.erase(it) : std::next(it);
+        }
+        std::erase_if(rests, [&](const auto& rest) { return now >= rest.second; });
+        for (std::size_t i = 0; i < requests.size(); ++i) {
+            Request& r = requests[i];
+            const int slot = static_cast<int>(i);
+            if (!r.used || r.finished || r.streaming) continue;
+            const ClassSettings& c = s.classes[r.cls];
+            const bool worthless = c.late_share <= 0 && now > r.aim;
+            if (!r.attempt_out()) {
+                if (now + kAnswerMargin >= r.deadline ||
+                    now + static_cast<Micros>(run_time(r)) > r.deadline || worthless || !may_try_again(r))
+                    end(slot);
+            } else if (worthless && s.may_cancel && c.effect == Effect::repeatable) {
+                end(slot);
+            } else if (s.priorities && priority_of(r) != r.priority) {
+                r.priority = priority_of(r);
+                actions.push_back(Terms{r.id, 0, r.priority});
+            }
+        }
+        for (Engine& e : engines) {
+            std::erase_if(e.zombies, [&](const Sent& z) { return now >= z.at; });
+            while (!e.cold.empty() && e.cold.front().at < now - s.overload_for) e.cold.pop_front();
+            // No note and no answer from an engine that holds work: silent. It is shunned; what may be sent
+            // again is called off and goes elsewhere.
+            if (s.note_period <= 0 || e.out.empty()) continue;
+            const Micros silence = static_cast<Micros>(kSilentNotes * static_cast<double>(s.note_period));
+            const Attempt& oldest = requests[e.out.front().first].attempts[e.out.front().second];
+            if (now - std::max(oldest.sent, e.alive) < silence) continue;
+            shun(e);
+            if (!s.may_cancel) continue;
+            for (const auto& [slot, n] : e.out)
+                if (!requests[slot].finished && s.classes[requests[slot].cls].effect != Effect::once &&
+                    static_cast<int>(requests[slot].attempts.size()) < s.attempts_cap)
+                    actions.push_back(Cancel{requests[slot].id, n});
+        }
+        while (!taken.empty() && taken.front() <= now - s.ratio_span) taken.pop_front();
+        while (!further.empty() && further.front() < now - s.ratio_span) further.pop_front();
+    }
+
+    // ---- Events
+
+    int slot_of(const std::string& id) const {
+        const auto found = ids.find(id);
+        return found == ids.end() ? -1 : found->second;
+    }
+
+    int engine_of(EngineId id) const {
+        const auto found = engine_index.find(id);
+        return found == engine_index.end() ? -1 : found->second;
+    }
+
+    void on(const ListChange& c) {
+        if (c.form == ListForm::lost) {
+            subscribed = false;
+            return;
+        }
+        if (c.form != ListForm::warm_copy) subscribed = true;
+        if (c.form != ListForm::incr)
+            for (Engine& e : engines) e.listed = false;
+        for (const EngineEntry& entry : c.engines) {
+            const auto [place, fresh] = engine_index.try_emplace(entry.id, static_cast<int>(engines.size()));
+            if (fresh) engines.emplace_back();
+            Engine& e = engines[place->second];
+            if (entry.came_up > e.entry.came_up) {  // a fresh process: nothing known of the old one holds
+                e.shun_until = e.shun_for = e.full_until = 0;
+                e.errors = 0, e.slow = 1;
+            }
+            e.entry = entry;
+            e.listed = entry.state != EngineState::off;
+            for (const KindSettings& k : s.kinds)
+                if (k.name == entry.kind) e.cores = std::max(1.0, k.cores), e.memory = k.memory_mb;
+            if (fresh) e.alive = now;
+        }
+    }
+
+    void on(const Demand& d) {
+        const auto type =
+            std::find_if(s.classes.begin(), s.classes.end(), [&](const auto& c) { return c.name == d.type; });
+        if (type == s.classes.end() || ids.contains(d.id)) return;
+        int slot = static_cast<int>(requests.size());
+        if (spare.empty())
+            requests.emplace_back();
+        else
+            slot = spare.back(), spare.pop_back();
+        Request& r = requests[slot];
+        r = Request{};
+        r.used = true, r.id = d.id, r.seq = ++seq;
+        r.cls = static_cast<int>(type - s.classes.begin());
+        for (std::size_t t = 0; t < s.tenants.size(); ++t)
+            if (s.tenants[t].name == d.tenant) r.tenant = static_cast<int>(t);
+        ids.emplace(r.id, slot);
+        taken.push_back(now);
+        const ClassSettings& c = s.classes[r.cls];
+        ClassState& k = classes[r.cls];
+        if (d.cost && *d.cost > 0) {
+            r.raw_cost = static_cast<double>(*d.cost);
+            if (k.raw <= 0) k.raw = r.raw_cost, k.work = r.raw_cost;
+            approach(k.raw, r.raw_cost, 0.03);
+            if (!s.cost_in_answers) k.work = k.raw * k.cost_ratio;
+            r.cost = r.raw_cost * k.cost_ratio;
+        } else {
+            if (k.work <= 0) k.work = static_cast<double>(c.aim) * c.threads / 4;
+            r.cost = k.work;
+        }
+        r.raw_memory = d.memory_mb, r.memory = d.memory_mb * k.memory_ratio;
+        r.group = d.group;
+        r.arrival = now, r.deadline = now + d.time_left;
+        r.aim = now + std::min(d.time_left, c.aim + static_cast<Micros>(c.aim_stretch * run_time(r)));
+        Stream& t = stream_of(r);
+        if (t.budget <= 0) {
+            k.sensitive = k.usual_run(c.threads) < kSensitiveRun;
+            fit_stream(t, static_cast<std::size_t>(r.cls));
+        }
+        r.due = now + static_cast<Micros>(t.budget - t.service);
+        if (!s.tenants.empty() && s.tenants[r.tenant].quota_per_s > 0) {
+            Tenant& q = tenants[r.tenant];
+            const double rate = s.tenants[r.tenant].quota_per_s / s.siblings;
+            q.tokens = std::min(q.tokens + rate * static_cast<double>(now - q.filled) / kSecond,
+                                std::max(rate, 1.0));
+            q.filled = now;
+            r.over_share = q.tokens < 1;
+            if (!r.over_share) q.tokens -= 1;
+        }
+        approach(usual.work, r.cost), approach(usual.memory, r.memory), approach(usual.threads, c.threads);
+        ++first_all, first_sensitive += k.sensitive;
+        if (moved == fitted || first_all < kFewSamples)
+            alpha = std::clamp(static_cast<double>(first_sensitive) / static_cast<double>(first_all),
+                               kAlphaLow, kAlphaHigh);
+        if (c.in_turn && !d.key.empty()) {
+            r.key = d.key, r.in_line = true;
+            lines[r.key].push_back(slot);
+        }
+        settle(slot);
+    }
+
+    void on(const Begun& b) {
+        if (const int slot = slot_of(b.id); slot >= 0) requests[slot].streaming = true;
+    }
+
+    void on(const Completed& c) {
+        const int slot = slot_of(c.id);
+        if (slot < 0) return;
+        Request& r = requests[slot];
+        if (c.attempt < 0 || c.attempt >= static_cast<int>(r.attempts.size()) || !r.attempts[c.attempt].open)
+            return;
+        Attempt& a = r.attempts[c.attempt];
+        Engine& e = engines[a.engine];
+        a.open = false;
+        std::erase(e.out, std::pair(slot, c.attempt));
+        e.threads -= a.threads, e.granted -= a.memory;
+        const bool lingers = c.outcome == Outcome::etimedout || c.outcome == Outcome::ecanceled;
+        if (c.outcome != Outcome::etimedout && c.outcome != Outcome::econnrefused &&
+            c.outcome != Outcome::ecanceled)
+            e.alive = now;
+        if (c.report) take_report(e, c.report);
+        judge(e, c, a);
+        if (lingers && !s.may_cancel)  // work that can't be stopped still weighs on its engine
+            e.zombies.push_back(
+                {now + static_cast<Micros>(a.work / a.threads * std::max(0.2, 1 - a.progress)), a.threads});
+        if (!never_ran(c.outcome) && r.bound_to < 0) r.bound_to = a.engine, r.bound_since = a.sent;
+        if (c.outcome == Outcome::done) {
+            learn(r, a, c);
+            observe_latency(r, a, c.taken);
+        }
+        if (r.in_line && (lingers || c.outcome == Outcome::econnreset)) rests[r.key] = now + s.turn_gap;
+        if (c.finished) {
+            unqueue(slot);
+            r.finished = true;
+        } else if (!r.finished) {
+            if (c.outcome == Outcome::busy) r.not_before = now + kTick;
+            if (!r.attempt_out()) settle(slot);
+        }
+        free_if_over(slot);
+    }
+
+    void on(const Note& n) {
+        const int slot = slot_of(n.id);
+        if (slot < 0 || n.attempt < 0 || n.attempt >= static_cast<int>(requests[slot].attempts.size()))
+            return;
+        Attempt& a = requests[slot].attempts[n.attempt];
+        engines[a.engine].alive = now;
+        if (n.topic == NoteTopic::progress) a.progress = std::clamp(n.value, 0.0, 1.0);
+    }
+
+    void on(const Probed& p) {
+        const int index = engine_of(p.engine);
+        if (index < 0) return;
+        if (p.outcome == Outcome::done) take_report(engines[index], p.report);
+    }
+
+    void on(const PeerMessage&) {}
+
+    void on(const Gone& g) {
+        const int slot = slot_of(g.id);
+        if (slot < 0) return;
+        unqueue(slot);
+        requests[slot].finished = true;
+        if (s.may_cancel && !requests[slot].streaming)
+            for (std::size_t i = 0; i < requests[slot].attempts.size(); ++i)
+                if (requests[slot].attempts[i].open) actions.push_back(Cancel{g.id, static_cast<int>(i)});
+        free_if_over(slot);
+    }
+
+    // ---- Timers
+
+    void on(const Bell&) {
+        actions.push_back(SetTimer{kTick, 0});
+        sweep();
+        if (now - fitted >= kFitEvery) fitted = now, fit();
+        if (now - moved >= kAlphaEvery) moved = now, move_alpha();
+        if (s.ask_discovery && !subscribed &&
+            now - asked >= static_cast<Micros>(kAskShare * static_cast<double>(s.ask_within))) {
+            asked = now;
+            actions.push_back(Observe{});
+        }
+        if (s.may_probe && s.reports == ReportSource::probe)
+            for (Engine& e : engines)
+                if (e.listed && e.entry.state == EngineState::on && now - e.probed >= kProbeEvery) {
+                    e.probed = now;
+                    actions.push_back(Probe{e.entry.id});
+                }
+    }
+
+    void take(Micros at, const Event& event) {
+        now = std::max(now, at);
+        std::visit([this](const auto& e) { on(e); }, event);
+        dispatch();
+    }
+};
+
+Brain::Brain(Micros now, std::uint64_t seed, Settings settings)
+    : front_(std::make_unique<Front>(now, seed, std::move(settings))) {}
+Brain::~Brain() = default;
+Brain::Brain(Brain&&) noexcept = default;
+Brain& Brain::operator=(Brain&&) noexcept = default;
+
+std::vector<Action> Brain::start() {
+    front_->start();
+    return std::exchange(front_->actions, {});
+}
+
+std::vector<Action> Brain::handle(Micros now, const Event& event) {
+    front_->take(now, event);
+    return std::exchange(front_->actions, {});
+}
+
+double Brain::alpha() const {
+    return front_->alpha;
+}
+
+}  // namespace gatetiller
--- /dev/null
+++ b/src/wire.cpp
@@ -0,0 +1,439 @@
+#include "wire.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <istream>
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+namespace gatetiller::wire {
+namespace {
+
+constexpr std::string_view kTextFields[] = {"boot_info", "reason_text"};
+
+template <typename T>
+T number(std::string_view text, std::string_view name) {
+    T value{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size())
+        throw WireError("field " + std::string(name) + " is not a number: '" + std::string(text) + "'");
+    return value;
+}
+
+// The parts of one line: its message name and its fields.
+class Fields {
+public:
+    explicit Fields(std::string_view line) {
+        std::size_t tab = line.find('\t');
+        name_ = line.substr(0, tab);
+        while (tab != std::string_view::npos) {
+            const std::string_view rest = line.substr(tab + 1);
+            const std::size_t equals = rest.find('=');
+            std::size_t end = rest.find('\t');
+            if (equals == std::string_view::npos || equals > end)
+                throw WireError("a part without '=': '" + std::string(rest.substr(0, end)) + "'");
+            const std::string_view key = rest.substr(0, equals);
+            if (std::ranges::find(kTextFields, key) != std::end(kTextFields)) end = std::string_view::npos;
+            fields_.emplace_back(key, rest.substr(0, end).substr(equals + 1));
+            tab = end == std::string_view::npos ? end : tab + 1 + end;
+        }
+    }
+    std::string_view name() const { return name_; }
+    std::optional<std::string_view> find(std::string_view key) const {
+        for (const auto& [name, value] : fields_)
+            if (name == key) return value;
+        return std::nullopt;
+    }
+    std::string_view text(std::string_view key) const {
+        const auto value = find(key);
+        if (!value) throw WireError(std::string(name_) + " lacks " + std::string(key));
+        return *value;
+    }
+    template <typename T>
+    T get(std::string_view key) const {
+        return number<T>(text(key), key);
+    }
+    template <typename T>
+    T get(std::string_view key, T otherwise) const {
+        const auto value = find(key);
+        return value ? number<T>(*value, key) : otherwise;
+    }
+    bool flag(std::string_view key) const {
+        const auto value = find(key);
+        if (value && *value != "0" && *value != "1")
+            throw WireError("field " + std::string(key) + " is neither 0 nor 1: '" + std::string(*value) +
+                            "'");
+        return value == "1";
+    }
+
+private:
+    std::string_view name_;
+    std::vector<std::pair<std::string_view, std::string_view>> fields_;
+};
+
+template <typename T, std::size_t N>
+T named(const std::pair<std::string_view, T> (&table)[N], std::string_view word, std::string_view field) {
+    for (const auto& [name, value] : table)
+        if (name == word) return value;
+    throw WireError("unknown word in " + std::string(field) + ": '" + std::string(word) + "'");
+}
+
+constexpr std::pair<std::string_view, Outcome> kOutcomes[] = {{"done", Outcome::done},
+                                                              {"err", Outcome::err},
+                                                              {"busy", Outcome::busy},
+                                                              {"etimedout", Outcome::etimedout},
+                                                              {"econnrefused", Outcome::econnrefused},
+                                                              {"econnreset", Outcome::econnreset},
+                                                              {"ecanceled", Outcome::ecanceled},
+                                                              {"skipped", Outcome::skipped}};
+constexpr std::pair<std::string_view, EngineState> kStates[] = {
+    {"on", EngineState::on}, {"fading", EngineState::fading}, {"off", EngineState::off}};
+constexpr std::pair<std::string_view, ListForm> kForms[] = {{"incr", ListForm::incr},
+                                                            {"total", ListForm::total},
+                                                            {"warm_copy", ListForm::warm_copy},
+                                                            {"lost", ListForm::lost}};
+constexpr std::pair<std::string_view, Effect> kEffects[] = {
+    {"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}};
+constexpr std::pair<std::string_view, Scope> kScopes[] = {
+    {"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}};
+constexpr std::pair<std::string_view, WhenShort> kShort[] = {
+    {"queue", WhenShort::queue}, {"trim", WhenShort::trim}, {"swap", WhenShort::swap}};
+constexpr std::pair<std::string_view, ReportSource> kSources[] = {
+    {"none", ReportSource::none}, {"answers", ReportSource::answers}, {"probe", ReportSource::probe}};
+constexpr std::pair<std::string_view, std::optional<double> Report::*> kReportFields[] = {
+    {"concurrent", &Report::concurrent}, {"depth", &Report::depth},  {"load_share", &Report::load_share},
+    {"mean_ms", &Report::mean_ms},       {"tps", &Report::tps},      {"err_ps", &Report::err_ps},
+    {"x0", &Report::memory_granted},     {"x1", &Report::disks_busy}};
+
+std::optional<Report> parse_report(std::optional<std::string_view> text) {
+    if (!text || text->empty()) return std::nullopt;
+    Report report;
+    for (std::size_t at = 0; at <= text->size();) {
+        const std::size_t comma = std::min(text->find(',', at), text->size());
+        const std::string_view part = text->substr(at, comma - at);
+        const std::size_t colon = part.find(':');
+        if (colon == std::string_view::npos)
+            throw WireError("feedback without ':': '" + std::string(part) + "'");
+        for (const auto& [name, member] : kReportFields)
+            if (name == part.substr(0, colon)) report.*member = number<double>(part.substr(colon + 1), name);
+        at = comma + 1;
+    }
+    return report;
+}
+
+using Json = nlohmann::json;
+
+template <typename T>
+T value_or(const Json& object, const char* key, T otherwise) {
+    const auto found = object.find(key);
+    return found == object.end() || found->is_null() ? otherwise : found->get<T>();
+}
+
+const Json& part(const Json& object, const char* key) {
+    static const Json kNone = Json::object();
+    const auto found = object.find(key);
+    return found == object.end() || found->is_null() ? kNone : *found;
+}
+
+template <typename T>
+void at(const Json& array, std::size_t index, T& into) {
+    if (array.is_array() && index < array.size() && !array[index].is_null()) into = array[index].get<T>();
+}
+
+template <typename T>
+std::optional<T> maybe(const Json& object, const char* key) {
+    const auto found = object.find(key);
+    return found == object.end() || found->is_null() ? std::nullopt : std::optional<T>(found->get<T>());
+}
+
+Settings settings_from(const Json& json) {
+    Settings s;
+    const Json& extra = part(json, "extra");
+    for (const Json& entry : part(json, "classes")) {
+        ClassSettings c;
+        const std::size_t index = s.classes.size();
+        c.name = entry.at("name").get<std::string>();
+        c.aim = entry.at("aim_us").get<Micros>();
+        c.aim_stretch = value_or(entry, "aim_stretch", 0.0);
+        c.deadline = entry.at("deadline_us").get<Micros>();
+        c.effect = named(kEffects, entry.at("effect").get<std::string>(), "effect");
+        c.key_scope = named(kScopes, value_or<std::string>(entry, "key_scope", "cell"), "key_scope");
+        c.window = value_or<Micros>(entry, "window_us", 0);
+        c.late_share = value_or(entry, "late_share", 0.0);
+        c.value = value_or(entry, "value", 1.0);
+        c.in_turn = value_or(entry, "in_turn", false);
+        c.served_on = maybe<std::vector<std::string>>(entry, "served_on");
+        c.azs_open = maybe<std::vector<std::string>>(entry, "azs_open");
+        at(part(extra, "width_by_class"), index, c.threads);
+        at(part(extra, "class_load"), index, c.holds_group);
+        at(part(extra, "yields_to_loads"), index, c.yields_to_loads);
+        s.classes.push_back(std::move(c));
+    }
+    for (const Json& entry : part(json, "tenants"))
+        s.tenants.push_back({entry.at("name").get<std::string>(), value_or(entry, "quota_per_s", 0.0),
+                             value_or(entry, "share", 0.0)});
+    for (const Json& entry : part(json, "kinds")) {
+        KindSettings k;
+        k.name = entry.get<std::string>();
+        at(part(extra, "size_cores"), s.kinds.size(), k.cores);
+        at(part(extra, "size_mb"), s.kinds.size(), k.memory_mb);
+        s.kinds.push_back(std::move(k));
+    }
+    const Json &limits = part(json, "policy_limits"), &rules = part(json, "rules"),
+               &prices = part(json, "penalties");
+    s.zone = value_or<std::string>(json, "zone", "");
+    s.me = value_or(json, "me", 0);
+    s.siblings = value_or(json, "siblings", 1);
+    s.ask_discovery = value_or<std::string>(json, "discovery", "push") == "ask";
+    s.worth_by_work = value_or<std::string>(json, "worth_by", "request") == "work";
+    s.over_share_worth = value_or(json, "over_share_worth", 1.0);
+    s.largest_share = value_or(extra, "largest_share", 1.0);
+    s.grants = value_or(extra, "grants", false);
+    s.priorities = value_or(extra, "lanes_count", false);
+    s.cost_in_answers = value_or(extra, "cost_in_answers", false);
+    s.note_period = value_or<Micros>(extra, "note_period_us", 0);
+    s.when_short = named(kShort, value_or<std::string>(extra, "when_short", "queue"), "when_short");
+    s.reports =
+        named(kSources, value_or<std::string>(part(json, "report"), "source", "none"), "report.source");
+    s.probe_price = value_or(prices, "probe", 0.0);
+    s.cross_zone_price = value_or(prices, "cross_zone", 0.0);
+    s.may_cancel = value_or(limits, "cancel", false);
+    s.may_duplicate = value_or(limits, "may_duplicate", false);
+    s.may_probe = value_or(limits, "probes", false);
+    s.may_tell_peers = value_or(limits, "peers", false);
+    s.retry_hints = value_or(limits, "retry_after", false);
+    s.max_retry_after = value_or<Micros>(limits, "max_retry_after_us", 0);
+    s.attempts_cap = value_or(limits, "attempts_cap", 1);
+    s.grace_to_answer = value_or<Micros>(rules, "grace_to_answer_us", 0);
+    s.ask_within = value_or<Micros>(rules, "ask_within_us", 0);
+    s.drain_grace = value_or<Micros>(rules, "drain_grace_us", 0);
+    s.cold_share = value_or(rules, "cold_share", 0.0);
+    s.warm_up = value_or<Micros>(rules, "warm_up_us", 0);
+    s.overload_factor = value_or(rules, "overload_factor", 0.0);
+    s.overload_for = value_or<Micros>(rules, "overload_for_us", 0);
+    s.extra_free = maybe<double>(rules, "extra_free");
+    s.extra_per_request = maybe<double>(rules, "extra_per_request");
+    s.ratio_span = value_or<Micros>(rules, "ratio_span_us", 0);
+    s.turn_gap = value_or<Micros>(rules, "turn_gap_us", 0);
+    return s;
+}
+
+constexpr std::string_view kDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+template <typename... Ts>
+struct Overloaded : Ts... {
+    using Ts::operator()...;
+};
+
+}  // namespace
+
+Settings parse_settings(std::string_view json) {
+    try {
+        return settings_from(Json::parse(json));
+    } catch (const Json::exception& error) {
+        throw WireError(std::string("settings that cannot be read: ") + error.what());
+    }
+}
+
+std::string decode_base64(std::string_view text) {
+    std::string bytes;
+    if (text == "-") return bytes;
+    if (text.empty() || text.size() % 4 != 0) throw WireError("base64 of a wrong length");
+    const std::size_t padding = text.ends_with("==") ? 2 : text.ends_with('=') ? 1 : 0;
+    std::uint32_t bits = 0;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool pad = i >= text.size() - padding;
+        const std::size_t digit = pad ? 0 : kDigits.find(text[i]);
+        if (digit == std::string_view::npos) throw WireError("base64 with a character that does not belong");
+        bits = bits << 6 | static_cast<std::uint32_t>(digit);
+        if (i % 4 == 3)
+            for (int shift = 16; shift >= 0; shift -= 8)
+                bytes.push_back(static_cast<char>(bits >> shift & 0xff));
+    }
+    bytes.resize(bytes.size() - padding);
+    return bytes;
+}
+
+std::string encode_base64(std::string_view bytes) {
+    if (bytes.empty()) return "-";
+    std::string text;
+    for (std::size_t i = 0; i < bytes.size(); i += 3) {
+        std::uint32_t bits = 0;
+        for (std::size_t j = 0; j < 3; ++j)
+            bits = bits << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0u);
+        for (std::size_t j = 0; j < 4; ++j)
+            text.push_back(i + j > bytes.size() ? '=' : kDigits[bits >> (18 - 6 * j) & 63]);
+    }
+    return text;
+}
+
+void Host::open_page(std::string_view line) {
+    const Fields f(line);
+    page_open_ = f.get<std::size_t>("page");
+    if (page_open_ >= pages_.size()) throw WireError("a list's number is out of range");
+    entries_due_ = f.get<std::size_t>("hosts");
+    pages_[page_open_].clear();
+}
+
+void Host::add_entry(std::string_view line) {
+    const Fields f(line);
+    if (f.name() != "entry") throw WireError("a list ends early: '" + std::string(f.name()) + "'");
+    pages_[page_open_].push_back({f.get<EngineId>("engine"), named(kStates, f.text("state"), "state"),
+                                  std::string(f.find("failure_domain").value_or("")),
+                                  std::string(f.find("type").value_or("")), f.get<std::int64_t>("cluster", 0),
+                                  f.get<Micros>("came_up_us", 0), f.get<double>("share", 1)});
+    --entries_due_;
+}
+
+bool Host::take(std::string_view line) {
+    if (entries_due_ > 0) {
+        add_entry(line);
+        return false;
+    }
+    if (line.empty()) return false;
+    const std::string_view name = line.substr(0, line.find('\t'));
+    if (name == "begin_batch") {
+        if (in_batch_) throw WireError("a batch begins inside another");
+        now_ = Fields(line).get<Micros>("at_time_us");
+        in_batch_ = true;
+        return false;
+    }
+    if (!in_batch_) throw WireError("a line outside a batch: '" + std::string(name) + "'");
+    if (name == "commit") {
+        in_batch_ = false;
+        return true;
+    }
+    if (name == "page") {
+        open_page(line);
+        return false;
+    }
+    constexpr std::string_view kEvents[] = {"create", "backends_changed", "demand",    "peer_data", "begun",
+                                            "gone",   "completed",        "update_of", "echo",      "halt",
+                                            "bell"};
+    if (std::ranges::find(kEvents, name) == std::end(kEvents)) return false;  // later versions may add events
+    const Fields f(line);
+    const int instance = f.get<int>("i");
+    if (name == "create") {
+        brains_.erase(instance);
+        Brain brain(now_, f.get<std::uint64_t>("random_seed"), parse_settings(f.text("boot_info")));
+        emit(instance, brains_.emplace(instance, std::move(brain)).first->second.start());
+        return false;
+    }
+    const auto found = brains_.find(instance);
+    if (found == brains_.end()) throw WireError("an unknown instance: " + std::to_string(instance));
+    const auto id = [&] { return std::string(f.text("corr")); };
+    const auto engine = [&] { return f.get<EngineId>("engine"); };
+    Event event;
+    if (name == "halt") {
+        brains_.erase(found);
+        return false;
+    }
+    if (name == "backends_changed") {
+        ListChange change{named(kForms, f.text("form"), "form"), {}};
+        if (change.form != ListForm::lost) {
+            const auto page = f.get<std::size_t>("page");
+            if (page >= pages_.size()) throw WireError("a list's number is out of range");
+            change.engines = pages_[page];
+        }
+        event = std::move(change);
+    } else if (name == "demand") {
+        Demand d;
+        d.id = id();
+        d.type = f.text("type");
+        d.tenant = f.find("billing").value_or("");
+        d.key = f.find("relation").value_or("");
+        d.time_left = f.get<Micros>("grace_us");
+        if (f.find("plan_cost_us")) d.cost = f.get<Micros>("plan_cost_us");
+        d.memory_mb = f.get<double>("mem_mb", 0);
+        d.group = static_cast<std::int64_t>(f.get<double>("table_group", 0));
+        d.repeat = f.flag("repeat");
+        event = std::move(d);
+    } else if (name == "peer_data") {
+        event = PeerMessage{f.get<int>("origin_peer"), decode_base64(f.text("bytes"))};
+    } else if (name == "begun") {
+        event = Begun{id(), f.get<int>("hop", 0)};
+    } else if (name == "gone") {
+        event = Gone{id()};
+    } else if (name == "completed") {
+        const auto stats = f.get<std::uint64_t>("stats", 0);
+        event = Completed{id(),
+                          f.get<int>("hop"),
+                          engine(),
+                          named(kOutcomes, f.text("reason"), "reason"),
+                          f.get<Micros>("time_taken_us", 0),
+                          f.flag("finished"),
+                          static_cast<double>(stats >> 12),
+                          static_cast<double>(stats & 4095) * 4,
+                          parse_report(f.find("feedback"))};
+    } else if (name == "update_of") {
+        const int topic = f.get<int>("topic");
+        if (topic < 1 || topic > 3) return false;
+        event =
+            Note{id(), f.get<int>("hop"), engine(), static_cast<NoteTopic>(topic), f.get<double>("value")};
+    } else if (name == "echo") {
+        event = Probed{engine(), f.get<Micros>("time_taken_us", 0),
+                       named(kOutcomes, f.text("reason"), "reason"), parse_report(f.find("feedback"))};
+    } else {
+        event = Bell{f.get<std::int64_t>("name")};
+    }
+    emit(instance, found->second.handle(now_, event));
+    return false;
+}
+
+void Host::emit(int instance, const std::vector<Action>& actions) {
+    const std::string i = "\ti=" + std::to_string(instance);
+    const auto str = [](auto value) { return std::to_string(value); };
+    for (const Action& action : actions) {
+        out_ += std::visit(
+            Overloaded{[&](const Send& a) {
+                           return "call_out" + i + "\tcorr=" + a.id + "\tengine=" + str(a.engine) +
+                                  "\tmax_wait_us=" + str(a.time_out);
+                       },
+                       [&](const Terms& a) {
+                           return "terms" + i + "\tcorr=" + a.id + "\tworkspace_mb=" + str(a.grant_mb) +
+                                  "\timportance=" + str(a.priority);
+                       },
+                       [&](const Refuse& a) {
+                           return "not_now" + i + "\tcorr=" + a.id + "\tcome_back_us=" + str(a.come_back);
+                       },
+                       [&](const Fail& a) { return "abort" + i + "\tcorr=" + a.id; },
+                       [&](const Cancel& a) {
+                           return "stop_attempt" + i + "\tcorr=" + a.id + "\thop=" + str(a.attempt);
+                       },
+                       [&](const Probe& a) { return "touch" + i + "\tengine=" + str(a.engine); },
+                       [&](const Tell& a) {
+                           return "memo_to" + i + "\taddressee=*\tbytes=" + encode_base64(a.bytes);
+                       },
+                       [&](const Observe&) { return "observe" + i + "\twant=1"; },
+                       [&](const SetTimer& a) {
+                           return "after" + i + "\tsleep_for_us=" + str(a.delay) + "\tname=" + str(a.name);
+                       }},
+            action);
+        out_ += '\n';
+    }
+}
+
+std::string Host::reply() {
+    std::string reply = std::move(out_) + "yield\n";
+    out_.clear();
+    return reply;
+}
+
+int serve(std::istream& in, std::ostream& out, std::ostream& errors) {
+    Host host;
+    std::string line;
+    std::size_t count = 0;
+    try {
+        while (std::getline(in, line)) {
+            ++count;
+            if (!line.empty() && line.back() == '\r') line.pop_back();
+            if (host.take(line)) out << host.reply() << std::flush;
+        }
+    } catch (const std::exception& error) {
+        errors << "gatetiller_wirehost: line " << count << ": " << error.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
+
+}  // namespace gatetiller::wire
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
