--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,7 +35,8 @@
 constexpr double kCvLow = 0.03, kCvHigh = 20;    // beyond these the shape is flat or a spike for any use
 constexpr double kSensitiveRun = 1.0 * kSecond;  // usual run time of a sensitive class is under this
 constexpr double kSwitch = 0.1;                  // a class changes side only past the limit by this share
-constexpr double kThreadsPerCore = 3, kLeastCap = 2;  // C: the design's start values
+constexpr double kKnee = 1.5;
+constexpr double kThreadsPerCore = 2.0, kLeastCap = 2;  // C: the design's start values
 
 // Pressure and weight.
 constexpr double kSlowPressure = 2;          // latency over best at which an engine is under pressure
@@ -54,6 +55,8 @@
 constexpr double kTimeOutRuns = 4,
                  kTimeOutAim = 0.6;  // where nothing can be called off, a try ends after these
 
+constexpr double kRunaway = 3;  // an attempt with more than this many usual runs still to go is called off
+
 // Rules.
 constexpr double kColdMargin = 0.6;         // of this front's part of a cold engine's budget: speeds vary
 constexpr double kCapacityBusy = 0.85;      // capacity is counted at this share of the cores
@@ -526,9 +529,10 @@
         if (e.out.empty()) return true;
         if (e.memory > 0 && e.granted + others(e) * usual.memory + r.memory > kMemoryFill * e.memory)
             return false;
-        if (!under_pressure(e)) return true;
         double threads = e.threads + s.classes[r.cls].threads;
         for (const Sent& z : e.zombies) threads += z.work;
+        const double all = threads + others(e) * usual.threads;
+        if (!under_pressure(e) && all <= kKnee * e.cores) return true;
         return threads <= std::max(kLeastCap, kThreadsPerCore * e.cores / s.siblings);
     }
 
@@ -863,7 +867,17 @@
             return;
         Attempt& a = requests[slot].attempts[n.attempt];
         engines[a.engine].alive = now;
-        if (n.topic == NoteTopic::progress) a.progress = std::clamp(n.value, 0.0, 1.0);
+        if (n.topic != NoteTopic::progress || !a.open) return;
+        a.progress = std::clamp(n.value, 0.0, 1.0);
+        // Guards against an attempt that gets on far slower than a fresh one would: a bad plan, or an engine
+        // that is slow alone. It is called off and sent again. When all engines are slow, so is the measure.
+        // Harm: work done is lost, so where costs are far over their estimates this repeats it, once a try.
+        const Request& r = requests[slot];
+        const double left = static_cast<double>(now - a.sent) * (1 - a.progress) / std::max(a.progress, 0.01);
+        if (s.may_cancel && !r.finished && !r.streaming && s.classes[r.cls].effect != Effect::once &&
+            static_cast<int>(r.attempts.size()) < s.attempts_cap &&
+            left > kRunaway * run_time(r) * usual_slow())
+            actions.push_back(Cancel{r.id, n.attempt});
     }
 
     void on(const Probed& p) {
