--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,6 +44,7 @@
 constexpr Micros kFullFor = 200 * kMs;       // a "busy" answer binds C for this long, about a report period
 constexpr Micros kReportLife = 3 * kSecond;  // an older load report says nothing
 constexpr double kMemoryFill = 0.95;         // own grants past this share of an engine's memory: full
+constexpr double kGrant = 1.25, kGrantFree = 3;   // grant over the corrected estimate; the latter where it is free
 constexpr double kOtherZone = 1.5;           // weight of an engine in another zone, where crossing costs
 constexpr std::size_t kScan = 8;             // held requests looked at per side when the first can't go
 
@@ -337,8 +338,9 @@
         Engine& e = engines[index];
         unqueue(slot);
         const double most = s.largest_share * e.memory;
-        const double grant =
-            s.grants && r.memory > 0 ? std::min(r.memory * 1.25, most > 0 ? most : r.memory) : 0;
+        // A grant over the need costs nothing where engines count the lesser of the two.
+        const double margin = s.when_short == WhenShort::swap ? kGrantFree : kGrant;
+        const double grant = s.grants && most > 0 ? std::min(r.memory * margin, most) : 0;
         const int priority = priority_of(r);
         if ((s.grants && grant > 0) || (s.priorities && priority != r.priority)) {
             actions.push_back(Terms{r.id, grant, priority});
@@ -585,7 +587,10 @@
 
     int priority_of(const Request& r) const {
         if (r.over_share || now > r.aim) return 0;
-        return classes[r.cls].sensitive ? 3 : 1;
+        const auto density = [&](std::size_t k) { return s.classes[k].value / std::max(classes[k].work, 1.0); };
+        for (std::size_t k = 0; k < classes.size(); ++k)
+            if (density(k) > density(r.cls)) return classes[r.cls].sensitive ? 2 : 1;
+        return 3;
     }
 
     Micros time_out(const Request& r, const Engine& e) const {
