--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -1,1 +1,226 @@
+// How one front decides: pressure and the cap, health, calling off, giving up, interface misuse.
 #include <gtest/gtest.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "rig.hpp"
+
+using namespace gatetiller;
+using namespace gatetiller::testing;
+
+namespace {
+std::string nth(const char* name, int i) {
+    return name + std::to_string(i);
+}
+
+// Answers everything out at once with one outcome; returns how many went to each engine since `from`.
+std::map<EngineId, int> tally(const Rig& rig, std::size_t from) {
+    std::map<EngineId, int> count;
+    for (std::size_t i = from; i < rig.sends.size(); ++i) ++count[rig.sends[i].engine];
+    return count;
+}
+}  // namespace
+
+TEST(Design, WithoutPressureNothingIsHeld) {
+    Rig rig(plain());
+    rig.list({engine(1), engine(2)});
+    for (int i = 0; i < 10; ++i) rig.demand(nth("a", i), "short");
+    EXPECT_EQ(rig.sends.size(), 10u);
+    EXPECT_EQ(tally(rig, 0).size(), 2u);
+}
+
+TEST(Design, UnderPressureTheCapHoldsAndAFreedSlotGoesToTheEarliestDue) {
+    Rig rig(plain());
+    rig.list({engine(1)});
+    for (int i = 0; i < 60; ++i) rig.demand(nth("a", i), "short");
+    const auto held_from = rig.sends.size();
+    EXPECT_LE(held_from, 16u);  // two threads a core
+    ASSERT_LT(held_from, 60u);
+    rig.outcome("a0", 0, 1, Outcome::done, true);
+    ASSERT_EQ(rig.sends.size(), held_from + 1);
+    EXPECT_EQ(rig.sends.back().id, nth("a", static_cast<int>(held_from)));
+}
+
+TEST(Design, AnIdleSideLendsItsSlots) {
+    Rig rig(plain());
+    rig.list({engine(1)});
+    for (int i = 0; i < 20; ++i) rig.demand(nth("b", i), "long");  // best effort alone
+    EXPECT_GE(rig.sends.size(), 6u);
+}
+
+TEST(Design, TenantsTakeTurnsByShare) {
+    Settings s = plain();
+    s.tenants = {{"one", 1000, 0.5}, {"two", 1000, 0.5}};
+    Rig rig(s);
+    rig.list({engine(1)});
+    for (int i = 0; i < 30; ++i) rig.demand(nth("b", i), "long", "", "one");
+    for (int i = 0; i < 30; ++i) rig.demand(nth("c", i), "long", "", "two");
+    const auto first = rig.sends.size();
+    for (std::size_t i = 0; i < 10; ++i) rig.outcome(rig.sends[i].id, 0, 1, Outcome::done, true, 1'000'000);
+    int two = 0;
+    for (std::size_t i = first; i < rig.sends.size(); ++i) two += rig.sends[i].id[0] == 'c';
+    EXPECT_GE(two, 5);  // the tenant that came second is not behind the whole line of the first
+}
+
+TEST(Shares, WhatIsOverTheShareGivesWay) {
+    Settings s = plain();
+    s.tenants = {{"small", 5, 0.5}, {"large", 1000, 0.5}};
+    Rig rig(s);
+    rig.list({engine(1)});
+    for (int i = 0; i < 40; ++i) rig.demand(nth("o", i), "short", "", "small");
+    const auto first = rig.sends.size();
+    rig.demand("in", "short", "", "large");
+    rig.outcome(rig.sends[0].id, 0, 1, Outcome::done, true);
+    ASSERT_EQ(rig.sends.size(), first + 1);
+    EXPECT_EQ(rig.sends.back().id, "in");
+}
+
+TEST(Health, AnEngineThatAnswersErrorsFastGetsLittle) {
+    Rig rig(plain());
+    rig.list({engine(1), engine(2), engine(3)});
+    for (int i = 0; i < 60; ++i) {
+        rig.at(i * 50'000);
+        const auto n = rig.sends.size();
+        rig.demand(nth("a", i), "short");
+        for (std::size_t k = n; k < rig.sends.size(); ++k) {
+            const Send sent = rig.sends[k];
+            const int attempt = static_cast<int>(k - n);
+            if (sent.engine == 2)
+                rig.outcome(sent.id, attempt, 2, Outcome::err, false, 1'000);
+            else
+                rig.outcome(sent.id, attempt, sent.engine, Outcome::done, true, 100'000);
+        }
+    }
+    EXPECT_LT(tally(rig, 0)[2], 12);
+}
+
+TEST(Health, WhenAllFailNoneIsShunned) {
+    Rig rig(plain());
+    rig.list({engine(1), engine(2)});
+    for (int i = 0; i < 10; ++i) {
+        rig.demand(nth("a", i), "short");
+        rig.outcome(nth("a", i), 0, rig.sends.back().engine, Outcome::err);
+    }
+    const auto before = rig.sends.size();
+    rig.demand("next", "short");
+    EXPECT_GT(rig.sends.size(), before);
+}
+
+TEST(Health, ASilentEngineIsLeftAndItsWorkGoesElsewhere) {
+    Settings s = plain();
+    s.note_period = 1'000'000;
+    Rig rig(s);
+    rig.list({engine(1), engine(2)});
+    rig.demand("a", "long");
+    const EngineId silent = rig.sends[0].engine;
+    rig.run_until(3'000'000, false);  // no note, no answer
+    ASSERT_FALSE(rig.cancels.empty());
+    rig.outcome("a", 0, silent, Outcome::ecanceled);
+    ASSERT_EQ(rig.sends.size(), 2u);
+    EXPECT_NE(rig.sends[1].engine, silent);
+    for (int i = 0; i < 10; ++i) rig.demand(nth("b", i), "short");
+    EXPECT_EQ(tally(rig, 1)[silent], 0);
+}
+
+TEST(Health, NotesKeepAnEngineTrusted) {
+    Settings s = plain();
+    s.note_period = 1'000'000;
+    Rig rig(s);
+    rig.list({engine(1), engine(2)});
+    rig.demand("a", "long");
+    rig.run_until(3'000'000, true);
+    EXPECT_TRUE(rig.cancels.empty());
+}
+
+TEST(CallOff, AnAttemptThatCrawlsIsSentAgainAndAGoodOneIsNot) {
+    for (const double done : {0.02, 0.6}) {
+        Rig rig(plain());
+        rig.list({engine(1), engine(2)});
+        rig.demand("a", "long");
+        rig.at(1'000'000);
+        rig.feed(Note{"a", 0, rig.sends[0].engine, NoteTopic::progress, done});
+        EXPECT_EQ(rig.cancels.size(), done < 0.1 ? 1u : 0u);
+    }
+}
+
+TEST(CallOff, NeverWhatMustNotRunTwiceNorWhereItFreesNothing) {
+    Settings fixed = plain();
+    fixed.may_cancel = false;
+    for (const auto& [settings, type] : {std::pair(plain(), "unsafe"), std::pair(fixed, "long")}) {
+        Rig rig(settings);
+        rig.list({engine(1), engine(2)});
+        rig.demand("a", type);
+        rig.at(1'000'000);
+        rig.feed(Note{"a", 0, rig.sends[0].engine, NoteTopic::progress, 0.02});
+        EXPECT_TRUE(rig.cancels.empty());
+    }
+}
+
+TEST(Grants, AreGenerousOnlyWhereThatIsFree) {
+    for (const WhenShort kind : {WhenShort::swap, WhenShort::queue}) {
+        Settings s = plain();
+        s.when_short = kind;
+        Rig rig(s);
+        rig.list({engine(1)});
+        rig.demand("a", "short");
+        ASSERT_FALSE(rig.terms.empty());
+        EXPECT_GT(rig.terms[0].grant_mb, 20);
+        EXPECT_EQ(rig.terms[0].grant_mb >= 40, kind == WhenShort::swap);
+    }
+}
+
+TEST(Discovery, AskedAtTheStartAndAgainWhenLost) {
+    Settings s = plain();
+    s.ask_discovery = true;
+    s.ask_within = 4'000'000;
+    Rig rig(s);
+    const auto asks = [&] {
+        return std::count_if(rig.others.begin(), rig.others.end(),
+                             [](const Action& a) { return std::holds_alternative<Observe>(a); });
+    };
+    EXPECT_EQ(asks(), 1);
+    rig.list({engine(1)});
+    rig.run_until(3'000'000);
+    EXPECT_EQ(asks(), 1);
+    rig.feed(ListChange{ListForm::lost, {}});
+    rig.run_until(4'500'000);
+    EXPECT_GE(asks(), 2);
+}
+
+TEST(Interface, SettingsThatContradictThemselvesThrow) {
+    Settings s = plain();
+    s.classes[0].aim = s.classes[0].deadline + 1;
+    EXPECT_THROW(Brain(0, 1, s), std::invalid_argument);
+    EXPECT_THROW(Brain(0, 1, Settings{}), std::invalid_argument);
+}
+
+TEST(Interface, UnknownIdsAndTimeGoingBackArePassedOver) {
+    Rig rig(plain());
+    rig.feed(Gone{"x"});
+    rig.feed(Begun{"x", 0});
+    rig.outcome("x", 0, 1, Outcome::done, true);
+    rig.feed(Note{"x", 3, 1, NoteTopic::progress, 0.5});
+    rig.feed(Probed{9, 10, Outcome::done, std::nullopt});
+    rig.demand("no-such-class", "nothing");
+    rig.at(1'000'000);
+    rig.list({engine(1)});
+    rig.demand("a", "short");
+    rig.outcome("a", 5, 1, Outcome::done, true);
+    rig.at(10);
+    rig.demand("b", "short");
+    EXPECT_EQ(rig.sent_ids(), (std::vector<std::string>{"a", "b"}));
+}
+
+TEST(Interface, SameEventsSameActions) {
+    const auto play = [] {
+        Rig rig(plain(), 11);
+        rig.list({engine(1), engine(2), engine(3)});
+        for (int i = 0; i < 50; ++i) rig.demand(nth("a", i), i % 3 ? "short" : "long");
+        rig.run_until(6'000'000);
+        std::vector<std::pair<std::string, EngineId>> sent;
+        for (const Send& send : rig.sends) sent.emplace_back(send.id, send.engine);
+        return sent;
+    };
+    EXPECT_EQ(play(), play());
+}
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,1 +1,296 @@
+// The seven rules, each on both sides of its edge, against one front fed by hand.
 #include <gtest/gtest.h>
+
+#include "rig.hpp"
+
+using namespace gatetiller;
+using namespace gatetiller::testing;
+
+// ---- rule 1: one final answer, in time, nothing after
+// -------------------------------------------------------
+
+TEST(OneAnswer, TimeOutAtTheDeadlineIsAnsweredOnce) {
+    Rig rig(plain());
+    rig.list({engine(1)});
+    rig.demand("a", "short");
+    ASSERT_EQ(rig.sends.size(), 1u);
+    EXPECT_LE(rig.sends[0].time_out, 4'000'000);
+    rig.at(4'000'000);
+    rig.outcome("a", 0, 1, Outcome::etimedout);
+    EXPECT_EQ(rig.refused("a") + rig.failed("a"), 1);
+    rig.run_until(8'000'000);
+    EXPECT_EQ(rig.refused("a") + rig.failed("a"), 1);
+    EXPECT_EQ(rig.sends.size(), 1u);
+}
+
+TEST(OneAnswer, HeldRequestEndsBeforeItsDeadline) {
+    Rig rig(plain());
+    rig.list({});  // nowhere to go
+    rig.demand("a", "long");
+    rig.run_until(20'000'000);
+    EXPECT_EQ(rig.refused("a"), 1);
+    EXPECT_LT(rig.ended_at("a"), 20'000'000);
+}
+
+TEST(OneAnswer, GoneBesideAnOutcomeInOneBatchIsQuiet) {
+    Rig rig(plain());
+    rig.list({engine(1)});
+    rig.demand("a", "short");
+    rig.at(4'000'000);
+    rig.outcome("a", 0, 1, Outcome::etimedout);
+    const auto before = rig.sends.size();
+    rig.feed(Gone{"a"});
+    rig.run_until(9'000'000);
+    EXPECT_EQ(rig.sends.size(), before);
+    EXPECT_EQ(rig.refused("a") + rig.failed("a"), 1);
+}
+
+TEST(OneAnswer, FinishedOutcomeNeedsNoMore) {
+    Rig rig(plain());
+    rig.list({engine(1)});
+    rig.demand("a", "short");
+    rig.outcome("a", 0, 1, Outcome::done, true);
+    rig.run_until(9'000'000);
+    EXPECT_EQ(rig.refused("a") + rig.failed("a"), 0);
+}
+
+// ---- rule 2: no effect twice
+// --------------------------------------------------------------------------------
+
+class OnceAfter : public ::testing::TestWithParam<std::pair<Outcome, bool>> {};
+
+TEST_P(OnceAfter, IsSentAgainOnlyIfItNeverRan) {
+    const auto [outcome, again] = GetParam();
+    Rig rig(plain());
+    rig.list({engine(1), engine(2)});
+    rig.demand("a", "unsafe");
+    ASSERT_EQ(rig.sends.size(), 1u);
+    rig.at(200'000);
+    rig.outcome("a", 0, rig.sends[0].engine, outcome);
+    rig.run_until(19'000'000, false);
+    EXPECT_EQ(rig.sends.size() > 1, again);
+    if (!again) {
+        EXPECT_EQ(rig.refused("a"), 0);  // a refusal would say that trying again is harmless
+        EXPECT_EQ(rig.failed("a"), 1);
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Outcomes, OnceAfter,
+                         ::testing::Values(std::pair(Outcome::err, false), std::pair(Outcome::busy, true),
+                                           std::pair(Outcome::etimedout, false),
+                                           std::pair(Outcome::econnrefused, true),
+                                           std::pair(Outcome::econnreset, false),
+                                           std::pair(Outcome::ecanceled, false),
+                                           std::pair(Outcome::skipped, true)));
+
+TEST(Keyed, SentAgainInsideItsWindowAndNotAfter) {
+    for (const bool inside : {true, false}) {
+        Rig rig(plain());
+        rig.list({engine(1), engine(2)});
+        rig.demand("a", "keyed");
+        rig.at(inside ? 4'900'000 : 5'000'000);  // the window is 5 s
+        rig.outcome("a", 0, rig.sends[0].engine, Outcome::err);
+        EXPECT_EQ(rig.sends.size(), inside ? 2u : 1u);
+        EXPECT_EQ(rig.refused("a"), inside ? 0 : 1);  // may be refused: every engine drops the repeat
+    }
+}
+
+TEST(Keyed, StaysWithinItsCellAndFailsOutsideIt) {
+    Settings s = plain();
+    s.classes[2].key_scope = Scope::cell;
+    Rig rig(s);
+    rig.list({engine(1, 0), engine(2, 1)});
+    rig.demand("a", "keyed");
+    const EngineId first = rig.sends[0].engine;
+    rig.outcome("a", 0, first, Outcome::econnreset);
+    rig.run_until(4'000'000, false);
+    for (const Send& send : rig.sends) EXPECT_EQ(send.engine, first);
+    rig.list({engine(first == 1 ? 2 : 1, first == 1 ? 1 : 0)});
+    rig.outcome("a", static_cast<int>(rig.sends.size()) - 1, first, Outcome::econnreset);
+    rig.run_until(24'900'000, false);
+    EXPECT_EQ(rig.refused("a"), 0);
+    EXPECT_EQ(rig.failed("a"), 1);
+}
+
+TEST(NoOverlap, NothingIsSentWhileAnAttemptIsOut) {
+    Rig rig(plain());
+    rig.list({engine(1), engine(2)});
+    rig.demand("a", "long");
+    rig.run_until(15'000'000);
+    EXPECT_EQ(rig.sends.size(), 1u);
+}
+
+// ---- rule 3: drains
+// -----------------------------------------------------------------------------------------
+
+TEST(Drains, NothingGoesToAFadingOffOrMissingEngine) {
+    for (const EngineState state : {EngineState::fading, EngineState::off}) {
+        Rig rig(plain());
+        rig.list({engine(1)});
+        EngineEntry changed = engine(1);
+        changed.state = state;
+        rig.feed(ListChange{ListForm::incr, {changed}});
+        rig.demand("a", "short");
+        EXPECT_TRUE(rig.sends.empty());
+    }
+    Rig rig(plain());
+    rig.list({engine(1), engine(2)});
+    rig.list({engine(2)});
+    for (int i = 0; i < 20; ++i) rig.demand("a" + std::to_string(i), "short");
+    for (const Send& send : rig.sends) EXPECT_EQ(send.engine, 2u);
+}
+
+TEST(Drains, AHeldRequestDoesNotFollowAnEngineThatDrained) {
+    Rig rig(plain());
+    rig.list({engine(1)});
+    rig.demand("a", "long");
+    rig.outcome("a", 0, 1, Outcome::busy);  // held for a moment before its next try
+    const auto before = rig.sends.size();
+    EngineEntry changed = engine(1);
+    changed.state = EngineState::fading;
+    rig.feed(ListChange{ListForm::incr, {changed}});
+    rig.run_until(1'000'000);
+    EXPECT_EQ(rig.sends.size(), before);
+}
+
+TEST(Drains, AnAttemptOutOnARemovedEngineStillEndsWell) {
+    Rig rig(plain());
+    rig.list({engine(1)});
+    rig.demand("a", "long");
+    rig.list({engine(2)});
+    rig.outcome("a", 0, 1, Outcome::econnreset);
+    ASSERT_EQ(rig.sends.size(), 2u);
+    EXPECT_EQ(rig.sends[1].engine, 2u);
+}
+
+// ---- rule 4: cold engines
+// -----------------------------------------------------------------------------------
+
+// Core-seconds sent to a cold engine at one instant by one front of so many, each answered at once.
+struct ColdRig : Rig {
+    explicit ColdRig(int siblings) : Rig(with(siblings)) {
+        at(100'000'000);
+        EngineEntry cold = engine(1);
+        cold.came_up = 99'000'000;
+        list({cold});
+    }
+    static Settings with(int siblings) {
+        Settings s = plain();
+        s.siblings = siblings;
+        return s;
+    }
+    double press(const std::string& name) {
+        const auto before = sends.size();
+        for (int i = 0; i < 400; ++i) {
+            demand(name + std::to_string(i), "short");
+            if (!sends.empty() && answered < sends.size())
+                outcome(sends[answered].id, 0, 1, Outcome::done, true), ++answered;
+        }
+        return static_cast<double>(sends.size() - before) * 0.1;
+    }
+    std::size_t answered = 0;
+};
+
+TEST(Cold, EachFrontKeepsToItsPartOfTheBudgetOfAWindow) {
+    // 3 x 0.3 x 0.85 x 8 cores x 2 s = 12.24 core-seconds for all fronts together.
+    for (const int siblings : {1, 3}) {
+        const double sent = ColdRig(siblings).press("a");
+        EXPECT_GT(sent, 3.0 / siblings);
+        EXPECT_LE(sent, 12.24 / siblings);
+    }
+}
+
+TEST(Cold, TheBudgetComesBackWithTheWindow) {
+    ColdRig rig(1);
+    const double first = rig.press("a");
+    rig.at(101'900'000);
+    EXPECT_EQ(rig.press("b"), 0);
+    rig.run_until(102'100'000);
+    EXPECT_GT(rig.press("c"), first / 2);
+}
+
+// ---- rule 5: order by key
+// -----------------------------------------------------------------------------------
+
+TEST(Order, OneAtATimeInTurnAndAFailureRestsTheKey) {
+    Settings s = plain();
+    s.classes[1].in_turn = true;
+    s.turn_gap = 500'000;
+    s.attempts_cap = 1;
+    Rig rig(s);
+    rig.list({engine(1), engine(2)});
+    rig.demand("a", "long", "k");
+    rig.demand("b", "long", "k");
+    rig.demand("c", "long", "k");
+    rig.demand("other", "long", "k2");
+    rig.demand("free", "long");
+    ASSERT_EQ(rig.sent_ids(), (std::vector<std::string>{"a", "other", "free"}));
+    rig.at(100'000);
+    rig.outcome("a", 0, rig.sends[0].engine, Outcome::done, true);
+    rig.run_until(150'000);
+    ASSERT_EQ(rig.sends.back().id, "b");
+    rig.outcome("b", 0, rig.sends.back().engine, Outcome::econnreset);
+    EXPECT_EQ(rig.refused("b"), 1);
+    rig.run_until(640'000);
+    EXPECT_EQ(rig.sends.back().id, "b");  // still resting
+    rig.run_until(720'000);
+    EXPECT_EQ(rig.sends.back().id, "c");
+}
+
+// ---- rule 6: placement
+// --------------------------------------------------------------------------------------
+
+TEST(Placement, KindAndZoneHoldOnEveryAttempt) {
+    Settings s = plain();
+    s.kinds.push_back({"big", 16, 32768});
+    s.classes[0].served_on = {{"big"}};
+    s.classes[1].azs_open = {{"z2"}};
+    Rig rig(s);
+    EngineEntry big = engine(2);
+    big.kind = "big";
+    EngineEntry far = engine(3);
+    far.zone = "z2";
+    rig.list({engine(1), big, far});
+    for (int i = 0; i < 10; ++i) {
+        rig.demand("s" + std::to_string(i), "short");
+        rig.demand("l" + std::to_string(i), "long");
+    }
+    for (int i = 0; i < 20; ++i) rig.outcome(rig.sends[i].id, 0, rig.sends[i].engine, Outcome::econnrefused);
+    rig.run_until(1'500'000, false);
+    ASSERT_GE(rig.sends.size(), 20u);
+    for (const Send& send : rig.sends) EXPECT_EQ(send.engine, send.id[0] == 's' ? 2u : 3u);
+    rig.list({engine(1)});
+    const auto before = rig.sends.size();
+    rig.demand("s-late", "short");
+    rig.run_until(9'000'000);
+    EXPECT_EQ(rig.sends.size(), before);
+    EXPECT_EQ(rig.refused("s-late"), 1);
+}
+
+// ---- rule 7: attempts beyond the first
+// ----------------------------------------------------------------------
+
+TEST(Budget, FurtherAttemptsKeepToFreePlusShare) {
+    Settings s = plain();
+    s.extra_free = 2;
+    s.extra_per_request = 0.2;
+    s.ratio_span = 5'000'000;
+    Rig rig(s);
+    rig.list({engine(1), engine(2)});
+    for (int i = 0; i < 10; ++i) rig.demand("a" + std::to_string(i), "short");
+    ASSERT_EQ(rig.sends.size(), 10u);
+    for (int i = 0; i < 10; ++i) rig.outcome(rig.sends[i].id, 0, rig.sends[i].engine, Outcome::err);
+    rig.run_until(700'000, false);
+    EXPECT_EQ(rig.sends.size() - 10, 4u);  // 2 + 0.2 x 10, and no more
+}
+
+TEST(Budget, WithoutTheSettingsOnlyTheCapHolds) {
+    Rig rig(plain());
+    rig.list({engine(1), engine(2)});
+    rig.demand("a", "short");
+    for (int i = 0; i < 8 && rig.refused("a") == 0; ++i) {
+        if (rig.sends.size() <= static_cast<std::size_t>(i)) break;
+        rig.outcome("a", i, rig.sends[i].engine, Outcome::err);
+    }
+    rig.run_until(1'000'000, false);
+    EXPECT_LE(rig.sends.size(), 3u);  // attempts_cap
+}
