--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,22 +39,24 @@
 constexpr double kThreadsPerCore = 2.0, kLeastCap = 2;  // C: the design's start values
 
 // Pressure and weight.
-constexpr double kSlowPressure = 2;          // latency over best at which an engine is under pressure
-constexpr double kBusyShare = 0.9;           // reported share of cores, disks or memory that counts as busy
-constexpr Micros kFullFor = 200 * kMs;       // a "busy" answer binds C for this long, about a report period
-constexpr Micros kReportLife = 3 * kSecond;  // an older load report says nothing
-constexpr double kMemoryFill = 0.95;         // own grants past this share of an engine's memory: full
-constexpr double kGrant = 1.25, kGrantFree = 3;   // grant over the corrected estimate; the latter where it is free
-constexpr double kOtherZone = 1.5;           // weight of an engine in another zone, where crossing costs
-constexpr std::size_t kScan = 8;             // held requests looked at per side when the first can't go
+constexpr double kSlowPressure = 2;  // latency over best at which an engine is under pressure
+constexpr double kBusyShare = 0.9;   // reported share of cores, disks or memory that counts as busy
+constexpr Micros kFullFirst = 200 * kMs, kFullMost = 2 * kSecond;  // rest of a full engine, doubling
+constexpr Micros kReportLife = 3 * kSecond;                        // an older load report says nothing
+constexpr double kMemoryFill = 0.95;  // own grants past this share of an engine's memory: full
+constexpr double kGrant = 1.25,
+                 kGrantFree = 3;    // grant over the corrected estimate; the latter where it is free
+constexpr double kLearn = 0.03;     // step of what a class costs: about the last thirty answers
+constexpr double kQuiet = 0.3;      // latencies in the lower 30% hold little contention
+constexpr double kOtherZone = 1.5;  // weight of an engine in another zone, where crossing costs
+constexpr std::size_t kScan = 8;    // held requests looked at per side when the first can't go
 
 // Health.
 constexpr double kSmooth = 0.1;  // EWMA step of ratios: about the last ten
 constexpr double kErrorStep = 0.15, kErrorTrial = 0.1, kErrorShun = 0.25;  // two errors in a row shun
 constexpr Micros kShunFirst = 500 * kMs, kShunMost = 4 * kSecond;
 constexpr double kSilentNotes = 2.5;  // note periods without any sign of life: silent
-constexpr double kTimeOutRuns = 4,
-                 kTimeOutAim = 0.6;  // where nothing can be called off, a try ends after these
+constexpr double kTimeOutRuns = 6;    // usual runs that a trial may take where nothing can be called off
 
 constexpr double kRunaway = 3;  // an attempt with more than this many usual runs still to go is called off
 
@@ -68,15 +70,10 @@
 }  // namespace
 
 // ---- Algorithm 1: the generalized exponential F(x) = (1 - exp(-x/omega))^phi, paper section 3.1 and 3.2
-// --------
 
 namespace {
-double mean_factor(double phi) {
-    return boost::math::digamma(phi + 1) - boost::math::digamma(1.0);
-}
-double variance_factor(double phi) {
-    return boost::math::trigamma(1.0) - boost::math::trigamma(phi + 1);
-}
+double mean_factor(double phi) { return boost::math::digamma(phi + 1) - boost::math::digamma(1.0); }
+double variance_factor(double phi) { return boost::math::trigamma(1.0) - boost::math::trigamma(phi + 1); }
 
 double cdf(double x, double phi, double omega) {
     return x <= 0 ? 0 : std::exp(phi * std::log1p(-std::exp(-x / omega)));
@@ -112,10 +109,8 @@
 }
 
 double next_alpha(double alpha, double worst, double best, double mean_cv) {
-    if (worst > kTheta)
-        alpha *= 1 + kBeta;
-    else if (worst < kTheta && best < kZeta)
-        alpha -= kGamma / std::max(mean_cv, kCvLow);
+    if (worst > kTheta) alpha *= 1 + kBeta;
+    else if (worst < kTheta && best < kZeta) alpha -= kGamma / std::max(mean_cv, kCvLow);
     return std::clamp(alpha, kAlphaLow, kAlphaHigh);
 }
 
@@ -123,6 +118,8 @@
 
 namespace {
 
+enum class Side { sensitive, best_effort, behind };
+
 struct Attempt {
     int engine = -1;
     Micros sent = 0;
@@ -145,6 +142,7 @@
     int bound_to = -1;       // engine of the first attempt that may have run
     Micros bound_since = 0;  // and when it was sent
     int priority = -1;
+    Side side = Side::behind;  // where it is held
 
     bool attempt_out() const {
         return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
@@ -169,7 +167,8 @@
     int out_at_report = 0;
     double slow = 1;    // latency over expected run time
     double errors = 0;  // recent share of errors
-    Micros shun_until = 0, shun_for = 0, full_until = 0, alive = 0, probed = 0;
+    Micros shun_until = 0, shun_for = 0, full_until = 0, full_for = 0, alive = 0, probed = 0;
+    bool down = false;  // the last word was that it takes no connection
 };
 
 struct ClassState {
@@ -190,8 +189,8 @@
 
 struct Stream {
     std::deque<Sample> window;
-    double latency = 0, square = 0, engine_time = 0, disengaged = 0;  // sums over the window
-    double cv = 1, service = 0, budget = 0;                           // as of the last fit
+    bool enough = false;  // as of the last fit, like the rest
+    double cv = 1, service = 0, budget = 0, eta = 0;
 };
 
 struct Key {  // a place in a queue: within share first, then by due time
@@ -215,9 +214,7 @@
 bool never_ran(Outcome o) {
     return o == Outcome::busy || o == Outcome::econnrefused || o == Outcome::skipped;
 }
-void approach(double& value, double seen, double step = kSmooth) {
-    value += step * (seen - value);
-}
+void approach(double& value, double seen, double step = kSmooth) { value += step * (seen - value); }
 
 }  // namespace
 
@@ -238,7 +235,7 @@
     std::vector<ClassState> classes;
     std::vector<Tenant> tenants;  // one at least, for sites without
     std::vector<Stream> streams;
-    std::set<Key> sensitive;
+    std::set<Key> sensitive, behind;
     std::map<std::string, std::deque<int>> lines;  // requests of a key, in turn
     std::map<std::string, Micros> rests;           // a key rests until then
     std::deque<Micros> taken, further;             // for the budget of attempts
@@ -247,9 +244,9 @@
     bool subscribed = false;
     Micros asked = 0, fitted = 0, moved = 0;
 
-    double run_time(const Request& r) const { return r.cost / s.classes[r.cls].threads; }
     Usual usual;  // of one query, whatever its class
 
+    double run_time(const Request& r) const { return r.cost / s.classes[r.cls].threads; }
     Stream& stream_of(const Request& r) { return streams[r.cls * tenants.size() + r.tenant]; }
     double uniform() { return static_cast<double>(rng() >> 11) * 0x1p-53; }
 
@@ -263,7 +260,8 @@
         if (s.siblings < 1) throw std::invalid_argument("settings without a single front");
         classes.resize(s.classes.size());
         tenants.resize(std::max<std::size_t>(1, s.tenants.size()));
-        for (Tenant& t : tenants) t.filled = now, t.tokens = 1;
+        for (std::size_t t = 0; t < s.tenants.size(); ++t)
+            tenants[t].filled = now, tenants[t].tokens = s.tenants[t].quota_per_s / s.siblings;
         streams.resize(classes.size() * tenants.size());
         fitted = moved = now;
     }
@@ -274,7 +272,6 @@
     }
 
     // ---- The guard: the only path that sends, refuses or fails keeps the seven rules
-    // --------------------------------
 
     bool is_cold(const Engine& e) const { return e.entry.came_up > 0 && now < e.entry.came_up + s.warm_up; }
 
@@ -367,6 +364,12 @@
             actions.push_back(Fail{r.id});
         }
         r.finished = true;
+        call_off(slot);
+    }
+
+    // Nothing more is owed for it: what is out is called off where that frees work.
+    void call_off(int slot) {
+        const Request& r = requests[slot];
         if (s.may_cancel && !r.streaming)
             for (std::size_t i = 0; i < r.attempts.size(); ++i)
                 if (r.attempts[i].open) actions.push_back(Cancel{r.id, static_cast<int>(i)});
@@ -379,15 +382,14 @@
         ClassState& k = classes[r.cls];
         if (c.work_ms > 0) {
             if (r.raw_cost > 0)
-                approach(k.cost_ratio, std::clamp(c.work_ms * kMs / r.raw_cost, 0.05, 20.0), 0.03);
-            approach(k.work, c.work_ms * kMs, 0.03);
+                approach(k.cost_ratio, std::clamp(c.work_ms * kMs / r.raw_cost, 0.05, 20.0), kLearn);
+            approach(k.work, c.work_ms * kMs, kLearn);
             if (c.needed_mb > 0 && r.raw_memory > 0)
-                approach(k.memory_ratio, std::clamp(c.needed_mb / r.raw_memory, 0.05, 20.0), 0.03);
+                approach(k.memory_ratio, std::clamp(c.needed_mb / r.raw_memory, 0.05, 20.0), kLearn);
         } else if (r.raw_cost > 0) {
-            // Costs aren't told: the ratio follows the 30th percentile of latency over estimate, where little
-            // contention is left in it.
+            // Costs aren't told: the ratio follows a low percentile of latency over estimate.
             const double seen = static_cast<double>(c.taken) * a.threads / r.raw_cost;
-            k.cost_ratio *= seen > k.cost_ratio ? 1 + 0.03 * 0.3 / 0.7 * 0.7 : 1 - 0.03 * 0.7;
+            k.cost_ratio *= seen > k.cost_ratio ? 1 + kLearn * kQuiet : 1 - kLearn * (1 - kQuiet);
             k.cost_ratio = std::clamp(k.cost_ratio, 0.05, 20.0);
             k.work = k.raw * k.cost_ratio;
         }
@@ -398,27 +400,24 @@
         const double latency = static_cast<double>(now - r.arrival);
         const double u = now <= r.aim ? 0 : now <= r.deadline ? kHalf : 1;
         t.window.push_back({now, latency, static_cast<double>(time), u});
-        t.latency += latency, t.square += latency * latency;
-        t.engine_time += static_cast<double>(time), t.disengaged += u;
         const double expected = std::max(a.work / a.threads, 1.0 * kMs);
         approach(engines[a.engine].slow, std::clamp(static_cast<double>(time) / expected, 0.2, 20.0));
     }
 
     void fit_stream(Stream& t, std::size_t cls) {
-        while (!t.window.empty() &&
-               (t.window.size() > kWindowCount || t.window.front().at < now - kWindowSpan)) {
-            const Sample& old = t.window.front();
-            t.latency -= old.latency, t.square -= old.latency * old.latency;
-            t.engine_time -= old.engine_time, t.disengaged -= old.disengaged;
+        while (!t.window.empty() && (t.window.size() > kWindowCount || t.window[0].at < now - kWindowSpan))
             t.window.pop_front();
-        }
         const ClassSettings& c = s.classes[cls];
-        const double n = static_cast<double>(t.window.size());
-        const double run = classes[cls].usual_run(c.threads);
-        const bool few = t.window.size() < kFewSamples;
-        const double mean = few ? 0 : t.latency / n;
-        t.cv = few ? 1 : std::sqrt(std::max(0.0, t.square / n - mean * mean)) / std::max(mean, 1.0);
-        t.service = few ? run : t.engine_time / n;
+        const double run = classes[cls].usual_run(c.threads), n = static_cast<double>(t.window.size());
+        double latency = 0, square = 0, engine_time = 0, disengaged = 0;
+        for (const Sample& x : t.window) {
+            latency += x.latency / n, square += x.latency * x.latency / n;
+            engine_time += x.engine_time / n, disengaged += x.disengaged / n;
+        }
+        t.enough = t.window.size() >= kFewSamples;
+        t.cv = t.enough ? std::sqrt(std::max(0.0, square - latency * latency)) / std::max(latency, 1.0) : 1;
+        t.service = t.enough ? engine_time : run;
+        t.eta = disengaged / kTarget;
         const double deadline = static_cast<double>(c.deadline);
         const double aim = std::min(static_cast<double>(c.aim) + c.aim_stretch * run, deadline);
         t.budget = mean_latency_budget(t.cv, aim, deadline, kTarget);
@@ -428,14 +427,7 @@
         for (std::size_t k = 0; k < classes.size(); ++k) {
             const double run = classes[k].usual_run(s.classes[k].threads);
             const double limit = kSensitiveRun * (classes[k].sensitive ? 1 + kSwitch : 1 - kSwitch);
-            const bool was = classes[k].sensitive;
             classes[k].sensitive = run < limit;
-            if (was != classes[k].sensitive)  // move what is held to its new side
-                for (std::size_t i = 0; i < requests.size(); ++i)
-                    if (requests[i].queued && requests[i].cls == static_cast<int>(k)) {
-                        classes[k].sensitive = was, unqueue(static_cast<int>(i));
-                        classes[k].sensitive = !was, queue(static_cast<int>(i));
-                    }
             for (std::size_t t = 0; t < tenants.size(); ++t) fit_stream(streams[k * tenants.size() + t], k);
         }
     }
@@ -444,9 +436,8 @@
         double worst = -1, best = 1e9, cv = 0, count = 0;
         for (std::size_t i = 0; i < streams.size(); ++i) {
             const Stream& t = streams[i];
-            if (!classes[i / tenants.size()].sensitive || t.window.size() < kFewSamples) continue;
-            const double eta = t.disengaged / static_cast<double>(t.window.size()) / kTarget;
-            worst = std::max(worst, eta), best = std::min(best, eta);
+            if (!classes[i / tenants.size()].sensitive || !t.enough) continue;
+            worst = std::max(worst, t.eta), best = std::min(best, t.eta);
             cv += t.cv, count += 1;
         }
         if (count > 0) alpha = next_alpha(alpha, worst, best, cv / count);
@@ -454,8 +445,7 @@
 
     // ---- Health
 
-    // An engine that gives no use is left alone for a while that doubles, then tried with one request at a
-    // time.
+    // An engine that gives no use is left alone, for doubling waits, then tried with one request at a time.
     void shun(Engine& e) {
         if (now < e.shun_until) return;
         e.shun_for = std::clamp(e.shun_for * 2, kShunFirst, kShunMost);
@@ -475,6 +465,7 @@
         switch (c.outcome) {
             case Outcome::done:
                 e.errors *= 1 - kErrorStep;
+                e.down = false, e.full_for = 0;
                 if (e.errors < kErrorTrial) e.shun_for = 0;
                 break;
             case Outcome::err:
@@ -482,19 +473,20 @@
                 if (e.errors >= kErrorShun) shun(e);
                 break;
             case Outcome::busy:
-                e.full_until = now + kFullFor;
+                // A full engine answers at once and holds little of ours, so it would look light.
+                if (now < e.full_until) break;
+                e.full_for = std::clamp(2 * e.full_for, kFullFirst, kFullMost);
+                e.full_until = now + e.full_for;
                 break;
             case Outcome::econnrefused:
-            case Outcome::econnreset:
+                e.down = true;
                 shun(e);
                 break;
+            case Outcome::econnreset: shun(e); break;
             case Outcome::etimedout:
                 if (e.alive < a.sent) shun(e);  // no sign of life since: silent
-                approach(e.slow, 20.0 * kSmooth + e.slow);
-                break;
-            case Outcome::ecanceled:
-            case Outcome::skipped:
                 break;
+            default: break;
         }
     }
 
@@ -514,7 +506,7 @@
     // ---- Pick and cap
 
     bool under_pressure(const Engine& e) const {
-        if (e.slow > kSlowPressure || now < e.full_until) return true;
+        if (e.slow > kSlowPressure) return true;
         if (now - e.reported > kReportLife) return false;
         const Report& p = e.report;
         return p.load_share.value_or(0) > kBusyShare || p.disks_busy.value_or(0) > kBusyShare ||
@@ -528,6 +520,7 @@
     }
 
     bool has_room(const Engine& e, const Request& r) const {
+        if (now < e.full_until) return false;
         if (e.out.empty()) return true;
         if (e.memory > 0 && e.granted + others(e) * usual.memory + r.memory > kMemoryFill * e.memory)
             return false;
@@ -573,8 +566,8 @@
         for (int pass = 0; pass < 2 && able.empty(); ++pass)
             for (std::size_t i = 0; i < engines.size(); ++i) {
                 const int e = static_cast<int>(i);
-                if ((shared || ready(engines[i])) && (e == last) == (pass == 1) && may_send(r, e) &&
-                    has_room(engines[i], r))
+                if ((ready(engines[i]) || (shared && !engines[i].down)) && (e == last) == (pass == 1) &&
+                    may_send(r, e) && has_room(engines[i], r))
                     able.push_back(e);
             }
         if (able.empty()) return -1;
@@ -587,41 +580,48 @@
 
     int priority_of(const Request& r) const {
         if (r.over_share || now > r.aim) return 0;
-        const auto density = [&](std::size_t k) { return s.classes[k].value / std::max(classes[k].work, 1.0); };
+        const auto density = [&](std::size_t k) {
+            return s.classes[k].value / std::max(classes[k].work, 1.0);
+        };
         for (std::size_t k = 0; k < classes.size(); ++k)
             if (density(k) > density(r.cls)) return classes[r.cls].sensitive ? 2 : 1;
         return 3;
     }
 
+    // A try at an engine under suspicion ends early where it could not be called off later.
     Micros time_out(const Request& r, const Engine& e) const {
-        const ClassSettings& c = s.classes[r.cls];
         const Micros left = r.deadline - now;
-        if (s.may_cancel || c.effect == Effect::once ||
-            static_cast<int>(r.attempts.size()) + 1 >= s.attempts_cap)
+        const bool last = static_cast<int>(r.attempts.size()) + 1 >= s.attempts_cap;
+        if (s.may_cancel || e.errors < kErrorTrial || last || s.classes[r.cls].effect == Effect::once)
             return left;
-        const double patience = std::max(kTimeOutRuns * run_time(r) * std::max(1.0, usual_slow()),
-                                         kTimeOutAim * static_cast<double>(r.aim - r.arrival));
-        (void)e;
-        return patience + run_time(r) < static_cast<double>(left) ? static_cast<Micros>(patience) : left;
+        return std::min(left, static_cast<Micros>(kTimeOutRuns * run_time(r) * usual_slow()));
     }
 
     // ---- Slots: alpha splits them between earliest-due sensitive streams and best-effort tenants in turn
-    // --------------
+
+    std::set<Key>& held_with(const Request& r) {
+        if (r.side == Side::behind) return behind;
+        return r.side == Side::sensitive ? sensitive : tenants[r.tenant].queue;
+    }
+
+    // Over its share, or too late for its aim. Such a request waits behind both sides: by due time alone,
+    // what is long past due would go before all that can still be served in time, and soon nothing is. Harm:
+    // where costs are overestimated, what could have made its aim waits too.
+    bool gives_way(const Request& r) const { return r.over_share || now + run_time(r) > r.aim; }
 
     void queue(int slot) {
         Request& r = requests[slot];
         if (r.queued || r.finished) return;
         r.queued = true;
-        const Key key{r.over_share, r.due, r.seq, slot};
-        (classes[r.cls].sensitive ? sensitive : tenants[r.tenant].queue).insert(key);
+        r.side = gives_way(r) ? Side::behind : classes[r.cls].sensitive ? Side::sensitive : Side::best_effort;
+        held_with(r).insert({r.over_share, r.due, r.seq, slot});
     }
 
     void unqueue(int slot) {
         Request& r = requests[slot];
         if (!r.queued) return;
         r.queued = false;
-        const Key key{r.over_share, r.due, r.seq, slot};
-        (classes[r.cls].sensitive ? sensitive : tenants[r.tenant].queue).erase(key);
+        held_with(r).erase({r.over_share, r.due, r.seq, slot});
     }
 
     bool serve_from(std::set<Key>& held) {
@@ -632,7 +632,7 @@
             if (now < r.not_before) continue;
             const int e = pick(r);
             if (e < 0) continue;
-            if (!classes[r.cls].sensitive)
+            if (r.side == Side::best_effort)
                 tenants[r.tenant].pass +=
                     r.cost / std::max(s.tenants.empty() ? 1 : s.tenants[r.tenant].share, 0.01);
             send(key.slot, e);
@@ -641,12 +641,11 @@
         return false;
     }
 
-    bool serve(bool from_sensitive) {
-        if (from_sensitive) return serve_from(sensitive);
-        std::vector<std::pair<double, std::size_t>>
-            turn;  // best-effort tenants, the least served for its share first
-        for (std::size_t t = 0; t < tenants.size(); ++t)
-            if (!tenants[t].queue.empty()) turn.emplace_back(tenants[t].pass, t);
+    bool serve(Side side) {
+        if (side != Side::best_effort) return serve_from(side == Side::sensitive ? sensitive : behind);
+        std::vector<std::pair<double, std::size_t>> turn;  // the tenant least served for its share goes first
+        for (std::size_t k = 0; k < tenants.size(); ++k)
+            if (!tenants[k].queue.empty()) turn.emplace_back(tenants[k].pass, k);
         std::sort(turn.begin(), turn.end());
         return std::any_of(turn.begin(), turn.end(),
                            [&](const auto& next) { return serve_from(tenants[next.second].queue); });
@@ -654,11 +653,10 @@
 
     void dispatch() {
         for (;;) {
-            const bool effort =
-                std::any_of(tenants.begin(), tenants.end(), [](const Tenant& t) { return !t.queue.empty(); });
-            if (sensitive.empty() && !effort) return;
-            const bool first = !effort || (!sensitive.empty() && uniform() < alpha);
-            if (!serve(first) && !serve(!first)) return;
+            const bool first = uniform() < alpha;
+            if (!serve(first ? Side::sensitive : Side::best_effort) &&
+                !serve(first ? Side::best_effort : Side::sensitive) && !serve(Side::behind))
+                return;
         }
     }
 
@@ -703,6 +701,7 @@
                 if (now + kAnswerMargin >= r.deadline ||
                     now + static_cast<Micros>(run_time(r)) > r.deadline || worthless || !may_try_again(r))
                     end(slot);
+                else if (r.queued && r.side != Side::behind && gives_way(r)) unqueue(slot), queue(slot);
             } else if (worthless && s.may_cancel && c.effect == Effect::repeatable) {
                 end(slot);
             } else if (s.priorities && priority_of(r) != r.priority) {
@@ -756,7 +755,7 @@
             Engine& e = engines[place->second];
             if (entry.came_up > e.entry.came_up) {  // a fresh process: nothing known of the old one holds
                 e.shun_until = e.shun_for = e.full_until = 0;
-                e.errors = 0, e.slow = 1;
+                e.errors = 0, e.slow = 1, e.down = false;
             }
             e.entry = entry;
             e.listed = entry.state != EngineState::off;
@@ -771,10 +770,8 @@
             std::find_if(s.classes.begin(), s.classes.end(), [&](const auto& c) { return c.name == d.type; });
         if (type == s.classes.end() || ids.contains(d.id)) return;
         int slot = static_cast<int>(requests.size());
-        if (spare.empty())
-            requests.emplace_back();
-        else
-            slot = spare.back(), spare.pop_back();
+        if (spare.empty()) requests.emplace_back();
+        else slot = spare.back(), spare.pop_back();
         Request& r = requests[slot];
         r = Request{};
         r.used = true, r.id = d.id, r.seq = ++seq;
@@ -788,7 +785,7 @@
         if (d.cost && *d.cost > 0) {
             r.raw_cost = static_cast<double>(*d.cost);
             if (k.raw <= 0) k.raw = r.raw_cost, k.work = r.raw_cost;
-            approach(k.raw, r.raw_cost, 0.03);
+            approach(k.raw, r.raw_cost, kLearn);
             if (!s.cost_in_answers) k.work = k.raw * k.cost_ratio;
             r.cost = r.raw_cost * k.cost_ratio;
         } else {
@@ -947,8 +944,6 @@
     return std::exchange(front_->actions, {});
 }
 
-double Brain::alpha() const {
-    return front_->alpha;
-}
+double Brain::alpha() const { return front_->alpha; }
 
 }  // namespace gatetiller
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -10,9 +10,7 @@
 using namespace gatetiller::testing;
 
 namespace {
-std::string nth(const char* name, int i) {
-    return name + std::to_string(i);
-}
+std::string nth(const char* name, int i) { return name + std::to_string(i); }
 
 // Answers everything out at once with one outcome; returns how many went to each engine since `from`.
 std::map<EngineId, int> tally(const Rig& rig, std::size_t from) {
@@ -86,10 +84,8 @@
         for (std::size_t k = n; k < rig.sends.size(); ++k) {
             const Send sent = rig.sends[k];
             const int attempt = static_cast<int>(k - n);
-            if (sent.engine == 2)
-                rig.outcome(sent.id, attempt, 2, Outcome::err, false, 1'000);
-            else
-                rig.outcome(sent.id, attempt, sent.engine, Outcome::done, true, 100'000);
+            if (sent.engine == 2) rig.outcome(sent.id, attempt, 2, Outcome::err, false, 1'000);
+            else rig.outcome(sent.id, attempt, sent.engine, Outcome::done, true, 100'000);
         }
     }
     EXPECT_LT(tally(rig, 0)[2], 12);
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -106,20 +106,13 @@
     }
     void keep(const std::vector<Action>& actions) {
         for (const Action& action : actions) {
-            if (const auto* a = std::get_if<Send>(&action))
-                sends.push_back(*a);
-            else if (const auto* b = std::get_if<Refuse>(&action))
-                refusals.push_back(*b), ends[b->id] = now;
-            else if (const auto* c = std::get_if<Fail>(&action))
-                failures.push_back(*c), ends[c->id] = now;
-            else if (const auto* d = std::get_if<Cancel>(&action))
-                cancels.push_back(*d);
-            else if (const auto* e = std::get_if<Terms>(&action))
-                terms.push_back(*e);
-            else if (const auto* f = std::get_if<SetTimer>(&action))
-                timers.emplace(now + f->delay, f->name);
-            else
-                others.push_back(action);
+            if (const auto* a = std::get_if<Send>(&action)) sends.push_back(*a);
+            else if (const auto* b = std::get_if<Refuse>(&action)) refusals.push_back(*b), ends[b->id] = now;
+            else if (const auto* c = std::get_if<Fail>(&action)) failures.push_back(*c), ends[c->id] = now;
+            else if (const auto* d = std::get_if<Cancel>(&action)) cancels.push_back(*d);
+            else if (const auto* e = std::get_if<Terms>(&action)) terms.push_back(*e);
+            else if (const auto* f = std::get_if<SetTimer>(&action)) timers.emplace(now + f->delay, f->name);
+            else others.push_back(action);
         }
     }
     std::map<std::string, Micros> ends;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -254,9 +254,11 @@
         rig.demand("s" + std::to_string(i), "short");
         rig.demand("l" + std::to_string(i), "long");
     }
-    for (int i = 0; i < 20; ++i) rig.outcome(rig.sends[i].id, 0, rig.sends[i].engine, Outcome::econnrefused);
+    const auto first = rig.sends.size();
+    for (std::size_t i = 0; i < first; ++i)
+        rig.outcome(rig.sends[i].id, 0, rig.sends[i].engine, Outcome::econnrefused);
     rig.run_until(1'500'000, false);
-    ASSERT_GE(rig.sends.size(), 20u);
+    ASSERT_GT(rig.sends.size(), first);
     for (const Send& send : rig.sends) EXPECT_EQ(send.engine, send.id[0] == 's' ? 2u : 3u);
     rig.list({engine(1)});
     const auto before = rig.sends.size();
