Shed by price under overload: costly requests wait behind until the rest fits half the shortest aim

Also guards against too few engines and waves of returning clients; harms costly classes while overload lasts. The budget of further attempts now forgets old requests at every event, not once a tick.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,21 +35,24 @@
 constexpr double kCvLow = 0.03, kCvHigh = 20;    // beyond these the shape is flat or a spike for any use
 constexpr double kSensitiveRun = 1.0 * kSecond;  // usual run time of a sensitive class is under this
 constexpr double kSwitch = 0.1;                  // a class changes side only past the limit by this share
-constexpr double kKnee = 1.5;
-constexpr double kThreadsPerCore = 2.0, kLeastCap = 2;  // C: the design's start values
+constexpr std::uint64_t kSeedCount = 100;        // alpha is the sensitive share of so many first requests
+constexpr double kThreadsPerCore = 2, kLeastCap = 2;  // C; three a core, the start value, passed the knee
+constexpr double kKnee = 1.5;  // threads a core, of all fronts, past which an engine is under pressure
 
 // Pressure and weight.
 constexpr double kSlowPressure = 2;  // latency over best at which an engine is under pressure
 constexpr double kBusyShare = 0.9;   // reported share of cores, disks or memory that counts as busy
 constexpr Micros kFullFirst = 200 * kMs, kFullMost = 2 * kSecond;  // rest of a full engine, doubling
 constexpr Micros kReportLife = 3 * kSecond;                        // an older load report says nothing
-constexpr double kMemoryFill = 0.95;  // own grants past this share of an engine's memory: full
-constexpr double kGrant = 1.25,
-                 kGrantFree = 3;    // grant over the corrected estimate; the latter where it is free
-constexpr double kLearn = 0.03;     // step of what a class costs: about the last thirty answers
-constexpr double kQuiet = 0.3;      // latencies in the lower 30% hold little contention
-constexpr double kOtherZone = 1.5;  // weight of an engine in another zone, where crossing costs
-constexpr std::size_t kScan = 8;    // held requests looked at per side when the first can't go
+constexpr double kMemoryFill = 0.95;             // own grants past this share of an engine's memory: full
+constexpr double kGrant = 1.25, kGrantFree = 3;  // grant over the estimate; the latter where it is free
+constexpr double kLearn = 0.03;                  // step of what a class costs: about the last thirty answers
+constexpr double kQuiet = 0.3;                   // latencies in the lower 30% hold little contention
+constexpr double kOtherZone = 1.5;               // weight of an engine in another zone, where crossing costs
+constexpr std::size_t kScan = 8;                 // held requests looked at per side when the first can't go
+
+constexpr double kBacklog = 0.5;  // of the shortest aim: what both sides may hold, at the pace work is done
+constexpr double kDrainStep = 0.02, kDrainLeast = 0.5;  // smoothed over some 50 ticks; cores at least at work
 
 // Health.
 constexpr double kSmooth = 0.1;  // EWMA step of ratios: about the last ten
@@ -57,7 +60,6 @@
 constexpr Micros kShunFirst = 500 * kMs, kShunMost = 4 * kSecond;
 constexpr double kSilentNotes = 2.5;  // note periods without any sign of life: silent
 constexpr double kTimeOutRuns = 6;    // usual runs that a trial may take where nothing can be called off
-
 constexpr double kRunaway = 3;  // an attempt with more than this many usual runs still to go is called off
 
 // Rules.
@@ -67,11 +69,8 @@
 constexpr Micros kTick = 25 * kMs, kFitEvery = 500 * kMs, kAlphaEvery = kSecond, kProbeEvery = kSecond;
 constexpr double kAskShare = 0.25;  // list calls are repeated after this share of ask_within
 
-}  // namespace
-
 // ---- Algorithm 1: the generalized exponential F(x) = (1 - exp(-x/omega))^phi, paper section 3.1 and 3.2
 
-namespace {
 double mean_factor(double phi) { return boost::math::digamma(phi + 1) - boost::math::digamma(1.0); }
 double variance_factor(double phi) { return boost::math::trigamma(1.0) - boost::math::trigamma(phi + 1); }
 
@@ -143,6 +142,8 @@
     Micros bound_since = 0;  // and when it was sent
     int priority = -1;
     Side side = Side::behind;  // where it is held
+    Micros rank = 0;           // and at which place: least first
+    bool shed = false;
 
     bool attempt_out() const {
         return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
@@ -172,14 +173,10 @@
 };
 
 struct ClassState {
-    double cost_ratio = 1, memory_ratio = 1;  // true over estimate
-    double work = 0, raw = 0, memory = 0;     // usual work, usual estimate, usual memory
+    double cost_ratio = 1, memory_ratio = 1;            // true over estimate
+    double work = 0, raw = 0, memory = 0, threads = 1;  // usual work, estimate of it, memory
     bool sensitive = false;
-    double usual_run(double threads) const { return work / threads; }
-};
-
-struct Usual {
-    double work = 0, memory = 0, threads = 1;
+    double usual_run(double width) const { return work / width; }
 };
 
 struct Sample {
@@ -193,9 +190,8 @@
     double cv = 1, service = 0, budget = 0, eta = 0;
 };
 
-struct Key {  // a place in a queue: within share first, then by due time
-    bool over_share;
-    Micros due;
+struct Key {  // a place in a queue
+    Micros rank;
     std::uint64_t seq;
     int slot;
     auto operator<=>(const Key&) const = default;
@@ -241,10 +237,11 @@
     std::deque<Micros> taken, further;             // for the budget of attempts
     std::uint64_t seq = 0;
     std::uint64_t first_sensitive = 0, first_all = 0;
+    double finished_work = 0, drained = 0;  // since the last tick; a microsecond, smoothed
     bool subscribed = false;
     Micros asked = 0, fitted = 0, moved = 0;
 
-    Usual usual;  // of one query, whatever its class
+    ClassState usual;  // of one query, whatever its class
 
     double run_time(const Request& r) const { return r.cost / s.classes[r.cls].threads; }
     Stream& stream_of(const Request& r) { return streams[r.cls * tenants.size() + r.tenant]; }
@@ -252,12 +249,10 @@
 
 public:
     Front(Micros at, std::uint64_t seed, Settings settings) : s(std::move(settings)), now(at), rng(seed) {
-        if (s.classes.empty()) throw std::invalid_argument("settings without classes");
+        if (s.classes.empty() || s.siblings < 1) throw std::invalid_argument("no classes or no fronts");
         for (const ClassSettings& c : s.classes)
             if (c.threads <= 0 || c.deadline <= 0 || c.aim <= 0 || c.aim > c.deadline)
-                throw std::invalid_argument("class " + c.name +
-                                            ": aim, deadline and threads contradict each other");
-        if (s.siblings < 1) throw std::invalid_argument("settings without a single front");
+                throw std::invalid_argument("class " + c.name + ": aim, deadline or threads don't fit");
         classes.resize(s.classes.size());
         tenants.resize(std::max<std::size_t>(1, s.tenants.size()));
         for (std::size_t t = 0; t < s.tenants.size(); ++t)
@@ -299,8 +294,7 @@
     bool has_turn(const Request& r) const {
         if (!r.in_line) return true;
         if (requests[lines.at(r.key).front()].seq != r.seq) return false;
-        const auto rest =
-            rests.find(r.key);  // only later requests rest, not further tries of the one that had the turn
+        const auto rest = rests.find(r.key);  // for later requests, not for further tries of this one
         return !r.attempts.empty() || rest == rests.end() || now >= rest->second;
     }
 
@@ -367,6 +361,12 @@
         call_off(slot);
     }
 
+    // Whether calling off its attempt frees work and leaves it another try.
+    bool may_move(const Request& r) const {
+        return s.may_cancel && !r.finished && !r.streaming && s.classes[r.cls].effect != Effect::once &&
+               static_cast<int>(r.attempts.size()) < s.attempts_cap;
+    }
+
     // Nothing more is owed for it: what is out is called off where that frees work.
     void call_off(int slot) {
         const Request& r = requests[slot];
@@ -440,7 +440,7 @@
             worst = std::max(worst, t.eta), best = std::min(best, t.eta);
             cv += t.cv, count += 1;
         }
-        if (count > 0) alpha = next_alpha(alpha, worst, best, cv / count);
+        if (count > 0 && first_all > kSeedCount) alpha = next_alpha(alpha, worst, best, cv / count);
     }
 
     // ---- Health
@@ -462,32 +462,20 @@
     }
 
     void judge(Engine& e, const Completed& c, const Attempt& a) {
-        switch (c.outcome) {
-            case Outcome::done:
-                e.errors *= 1 - kErrorStep;
-                e.down = false, e.full_for = 0;
-                if (e.errors < kErrorTrial) e.shun_for = 0;
-                break;
-            case Outcome::err:
-                e.errors += kErrorStep * (1 - e.errors);
-                if (e.errors >= kErrorShun) shun(e);
-                break;
-            case Outcome::busy:
-                // A full engine answers at once and holds little of ours, so it would look light.
-                if (now < e.full_until) break;
-                e.full_for = std::clamp(2 * e.full_for, kFullFirst, kFullMost);
-                e.full_until = now + e.full_for;
-                break;
-            case Outcome::econnrefused:
-                e.down = true;
-                shun(e);
-                break;
-            case Outcome::econnreset: shun(e); break;
-            case Outcome::etimedout:
-                if (e.alive < a.sent) shun(e);  // no sign of life since: silent
-                break;
-            default: break;
+        const Outcome o = c.outcome;
+        e.down = o == Outcome::econnrefused || (e.down && o != Outcome::done);
+        if (o == Outcome::done) {
+            e.errors *= 1 - kErrorStep, e.full_for = 0;
+            if (e.errors < kErrorTrial) e.shun_for = 0;
+        } else if (o == Outcome::err) {
+            e.errors += kErrorStep * (1 - e.errors);
+        } else if (o == Outcome::busy && now >= e.full_until) {
+            // A full engine answers at once and holds little of ours, so it would look light.
+            e.full_for = std::clamp(2 * e.full_for, kFullFirst, kFullMost), e.full_until = now + e.full_for;
         }
+        const bool silent = o == Outcome::etimedout && e.alive < a.sent;  // no sign of life since
+        const bool failing = o == Outcome::err && e.errors >= kErrorShun;
+        if (silent || failing || o == Outcome::econnrefused || o == Outcome::econnreset) shun(e);
     }
 
     bool ready(const Engine& e) const {
@@ -559,16 +547,15 @@
         std::vector<int> able;
         const int last = r.attempts.empty() ? -1 : r.attempts.back().engine;
         int bad = 0, all = 0;
-        for (std::size_t i = 0; i < engines.size(); ++i)
-            if (engines[i].listed && engines[i].entry.state == EngineState::on)
-                ++all, bad += !ready(engines[i]);
+        for (const Engine& e : engines)
+            if (e.listed && e.entry.state == EngineState::on) ++all, bad += !ready(e);
         const bool shared = bad * 2 > all;  // most look bad: the cause is likely shared, and none is shunned
         for (int pass = 0; pass < 2 && able.empty(); ++pass)
-            for (std::size_t i = 0; i < engines.size(); ++i) {
-                const int e = static_cast<int>(i);
-                if ((ready(engines[i]) || (shared && !engines[i].down)) && (e == last) == (pass == 1) &&
-                    may_send(r, e) && has_room(engines[i], r))
-                    able.push_back(e);
+            for (int i = 0; i < static_cast<int>(engines.size()); ++i) {
+                const Engine& e = engines[i];
+                if ((ready(e) || (shared && !e.down)) && (i == last) == (pass == 1) && may_send(r, i) &&
+                    has_room(e, r))
+                    able.push_back(i);
             }
         if (able.empty()) return -1;
         const std::size_t a = static_cast<std::size_t>(uniform() * static_cast<double>(able.size()));
@@ -580,11 +567,9 @@
 
     int priority_of(const Request& r) const {
         if (r.over_share || now > r.aim) return 0;
-        const auto density = [&](std::size_t k) {
-            return s.classes[k].value / std::max(classes[k].work, 1.0);
-        };
+        const auto dense = [&](std::size_t k) { return s.classes[k].value / std::max(classes[k].work, 1.0); };
         for (std::size_t k = 0; k < classes.size(); ++k)
-            if (density(k) > density(r.cls)) return classes[r.cls].sensitive ? 2 : 1;
+            if (dense(k) > dense(r.cls)) return classes[r.cls].sensitive ? 2 : 1;
         return 3;
     }
 
@@ -607,21 +592,29 @@
     // Over its share, or too late for its aim. Such a request waits behind both sides: by due time alone,
     // what is long past due would go before all that can still be served in time, and soon nothing is. Harm:
     // where costs are overestimated, what could have made its aim waits too.
-    bool gives_way(const Request& r) const { return r.over_share || now + run_time(r) > r.aim; }
+    bool gives_way(const Request& r) const { return r.shed || r.over_share || now + run_time(r) > r.aim; }
+
+    // Work for each unit of worth still to be had.
+    double price(const Request& r) const {
+        const ClassSettings& c = s.classes[r.cls];
+        const double worth = c.value * (r.over_share ? s.over_share_worth : 1);
+        return r.cost / std::max(worth * (now + run_time(r) > r.aim ? c.late_share : 1), 1e-3);
+    }
 
     void queue(int slot) {
         Request& r = requests[slot];
         if (r.queued || r.finished) return;
         r.queued = true;
         r.side = gives_way(r) ? Side::behind : classes[r.cls].sensitive ? Side::sensitive : Side::best_effort;
-        held_with(r).insert({r.over_share, r.due, r.seq, slot});
+        r.rank = r.side == Side::behind ? static_cast<Micros>(price(r)) : r.due;
+        held_with(r).insert({r.rank, r.seq, slot});
     }
 
     void unqueue(int slot) {
         Request& r = requests[slot];
         if (!r.queued) return;
         r.queued = false;
-        held_with(r).erase({r.over_share, r.due, r.seq, slot});
+        held_with(r).erase({r.rank, r.seq, slot});
     }
 
     bool serve_from(std::set<Key>& held) {
@@ -678,6 +671,29 @@
         if (has_turn(r)) queue(slot);
     }
 
+    // Under overload both sides would hold more than can be served in time. What costs most for its worth
+    // goes behind until the rest fits in a part of the shortest aim. Guards against waves of any origin, and
+    // against few engines. Harm: a class of costly requests is served last for as long as the overload lasts.
+    void shed() {
+        approach(drained, std::exchange(finished_work, 0) / static_cast<double>(kTick), kDrainStep);
+        double cores = 0, work = 0, aim = static_cast<double>(s.classes[0].aim);
+        for (const Engine& e : engines) cores += e.listed ? e.cores : 0;
+        for (const ClassSettings& c : s.classes) aim = std::min(aim, static_cast<double>(c.aim));
+        std::vector<std::pair<double, int>> held;
+        for (std::size_t i = 0; i < requests.size(); ++i)
+            if (const Request& r = requests[i]; r.queued && r.side != Side::behind)
+                held.emplace_back(price(r), static_cast<int>(i)), work += r.cost;
+        const double limit = std::max(drained, kDrainLeast * cores / s.siblings) * kBacklog * aim;
+        if (work <= limit) return;
+        std::sort(held.rbegin(), held.rend());
+        for (const auto& [price, slot] : held) {
+            if (work <= limit) break;
+            work -= requests[slot].cost;
+            requests[slot].shed = true;
+            unqueue(slot), queue(slot);
+        }
+    }
+
     void sweep() {
         for (auto it = lines.begin(); it != lines.end();) {  // the head of a key's line goes once it is over
             auto& line = it->second;
@@ -719,14 +735,9 @@
             const Attempt& oldest = requests[e.out.front().first].attempts[e.out.front().second];
             if (now - std::max(oldest.sent, e.alive) < silence) continue;
             shun(e);
-            if (!s.may_cancel) continue;
             for (const auto& [slot, n] : e.out)
-                if (!requests[slot].finished && s.classes[requests[slot].cls].effect != Effect::once &&
-                    static_cast<int>(requests[slot].attempts.size()) < s.attempts_cap)
-                    actions.push_back(Cancel{requests[slot].id, n});
+                if (may_move(requests[slot])) actions.push_back(Cancel{requests[slot].id, n});
         }
-        while (!taken.empty() && taken.front() <= now - s.ratio_span) taken.pop_front();
-        while (!further.empty() && further.front() < now - s.ratio_span) further.pop_front();
     }
 
     // ---- Events
@@ -736,17 +747,9 @@
         return found == ids.end() ? -1 : found->second;
     }
 
-    int engine_of(EngineId id) const {
-        const auto found = engine_index.find(id);
-        return found == engine_index.end() ? -1 : found->second;
-    }
-
     void on(const ListChange& c) {
-        if (c.form == ListForm::lost) {
-            subscribed = false;
-            return;
-        }
-        if (c.form != ListForm::warm_copy) subscribed = true;
+        if (c.form != ListForm::warm_copy) subscribed = c.form != ListForm::lost;
+        if (c.form == ListForm::lost) return;
         if (c.form != ListForm::incr)
             for (Engine& e : engines) e.listed = false;
         for (const EngineEntry& entry : c.engines) {
@@ -805,15 +808,14 @@
         if (!s.tenants.empty() && s.tenants[r.tenant].quota_per_s > 0) {
             Tenant& q = tenants[r.tenant];
             const double rate = s.tenants[r.tenant].quota_per_s / s.siblings;
-            q.tokens = std::min(q.tokens + rate * static_cast<double>(now - q.filled) / kSecond,
-                                std::max(rate, 1.0));
-            q.filled = now;
+            q.tokens += rate * static_cast<double>(now - std::exchange(q.filled, now)) / kSecond;
+            q.tokens = std::min(q.tokens, std::max(rate, 1.0));  // a second's worth at most
             r.over_share = q.tokens < 1;
-            if (!r.over_share) q.tokens -= 1;
+            q.tokens -= !r.over_share;
         }
         approach(usual.work, r.cost), approach(usual.memory, r.memory), approach(usual.threads, c.threads);
         ++first_all, first_sensitive += k.sensitive;
-        if (moved == fitted || first_all < kFewSamples)
+        if (first_all <= kSeedCount)
             alpha = std::clamp(static_cast<double>(first_sensitive) / static_cast<double>(first_all),
                                kAlphaLow, kAlphaHigh);
         if (c.in_turn && !d.key.empty()) {
@@ -831,24 +833,24 @@
         const int slot = slot_of(c.id);
         if (slot < 0) return;
         Request& r = requests[slot];
-        if (c.attempt < 0 || c.attempt >= static_cast<int>(r.attempts.size()) || !r.attempts[c.attempt].open)
-            return;
+        const int count = static_cast<int>(r.attempts.size());
+        if (c.attempt < 0 || c.attempt >= count || !r.attempts[c.attempt].open) return;
         Attempt& a = r.attempts[c.attempt];
         Engine& e = engines[a.engine];
         a.open = false;
         std::erase(e.out, std::pair(slot, c.attempt));
         e.threads -= a.threads, e.granted -= a.memory;
         const bool lingers = c.outcome == Outcome::etimedout || c.outcome == Outcome::ecanceled;
-        if (c.outcome != Outcome::etimedout && c.outcome != Outcome::econnrefused &&
-            c.outcome != Outcome::ecanceled)
-            e.alive = now;
+        if (!lingers && c.outcome != Outcome::econnrefused) e.alive = now;
         if (c.report) take_report(e, c.report);
         judge(e, c, a);
-        if (lingers && !s.may_cancel)  // work that can't be stopped still weighs on its engine
-            e.zombies.push_back(
-                {now + static_cast<Micros>(a.work / a.threads * std::max(0.2, 1 - a.progress)), a.threads});
+        if (lingers && !s.may_cancel) {  // work that can't be stopped still weighs on its engine
+            const double left = a.work / a.threads * std::max(0.2, 1 - a.progress);
+            e.zombies.push_back({now + static_cast<Micros>(left), a.threads});
+        }
         if (!never_ran(c.outcome) && r.bound_to < 0) r.bound_to = a.engine, r.bound_since = a.sent;
         if (c.outcome == Outcome::done) {
+            finished_work += r.cost;
             learn(r, a, c);
             observe_latency(r, a, c.taken);
         }
@@ -876,16 +878,14 @@
         // Harm: work done is lost, so where costs are far over their estimates this repeats it, once a try.
         const Request& r = requests[slot];
         const double left = static_cast<double>(now - a.sent) * (1 - a.progress) / std::max(a.progress, 0.01);
-        if (s.may_cancel && !r.finished && !r.streaming && s.classes[r.cls].effect != Effect::once &&
-            static_cast<int>(r.attempts.size()) < s.attempts_cap &&
-            left > kRunaway * run_time(r) * usual_slow())
+        if (may_move(r) && left > kRunaway * run_time(r) * usual_slow())
             actions.push_back(Cancel{r.id, n.attempt});
     }
 
     void on(const Probed& p) {
-        const int index = engine_of(p.engine);
-        if (index < 0) return;
-        if (p.outcome == Outcome::done) take_report(engines[index], p.report);
+        const auto found = engine_index.find(p.engine);
+        if (found != engine_index.end() && p.outcome == Outcome::done)
+            take_report(engines[found->second], p.report);
     }
 
     void on(const PeerMessage&) {}
@@ -895,10 +895,7 @@
         if (slot < 0) return;
         unqueue(slot);
         requests[slot].finished = true;
-        if (s.may_cancel && !requests[slot].streaming)
-            for (std::size_t i = 0; i < requests[slot].attempts.size(); ++i)
-                if (requests[slot].attempts[i].open) actions.push_back(Cancel{g.id, static_cast<int>(i)});
-        free_if_over(slot);
+        call_off(slot);
     }
 
     // ---- Timers
@@ -906,6 +903,7 @@
     void on(const Bell&) {
         actions.push_back(SetTimer{kTick, 0});
         sweep();
+        shed();
         if (now - fitted >= kFitEvery) fitted = now, fit();
         if (now - moved >= kAlphaEvery) moved = now, move_alpha();
         if (s.ask_discovery && !subscribed &&
@@ -923,6 +921,8 @@
 
     void take(Micros at, const Event& event) {
         now = std::max(now, at);
+        while (!taken.empty() && taken.front() <= now - s.ratio_span) taken.pop_front();
+        while (!further.empty() && further.front() < now - s.ratio_span) further.pop_front();
         std::visit([this](const auto& e) { on(e); }, event);
         dispatch();
     }
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -220,3 +220,42 @@
     };
     EXPECT_EQ(play(), play());
 }
+
+TEST(Overload, WhatCostsMostForItsWorthWaitsBehind) {
+    Rig rig(plain());
+    rig.list({engine(1)});
+    for (int i = 0; i < 40; ++i) rig.demand(nth("long", i), "long");  // same worth, twenty times the work
+    rig.run_until(100'000);
+    for (int i = 0; i < 4; ++i) rig.demand(nth("short", i), "short");
+    const auto before = rig.sends.size();
+    for (std::size_t i = 0; i < 4; ++i) rig.outcome(rig.sends[i].id, 0, 1, Outcome::done, true, 1'000'000);
+    int quick = 0;
+    for (std::size_t i = before; i < rig.sends.size(); ++i) quick += rig.sends[i].id[0] == 's';
+    EXPECT_EQ(quick, 4);
+}
+
+TEST(Overload, LateRequestsWaitBehindThoseStillInTime) {
+    Settings s = plain();
+    s.classes[0].aim = 300'000;
+    Rig rig(s);
+    rig.list({engine(1)});
+    for (int i = 0; i < 20; ++i) rig.demand(nth("old", i), "short");
+    rig.run_until(1'000'000);  // what is held of these is past its aim
+    const auto before = rig.sends.size();
+    ASSERT_LT(before, 20u);
+    rig.demand("new", "short");
+    rig.outcome(rig.sends[0].id, 0, 1, Outcome::done, true);
+    ASSERT_GT(rig.sends.size(), before);
+    EXPECT_EQ(rig.sends[before].id, "new");
+}
+
+TEST(Health, AFullEngineRests) {
+    Rig rig(plain());
+    rig.list({engine(1), engine(2)});
+    rig.demand("a", "short");
+    const EngineId full = rig.sends[0].engine;
+    rig.outcome("a", 0, full, Outcome::busy, false, 1'000);
+    rig.run_until(100'000);
+    for (int i = 0; i < 10; ++i) rig.demand(nth("b", i), "short");
+    EXPECT_EQ(tally(rig, 1)[full], 0);
+}
