--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -49,7 +49,8 @@
 constexpr double kLearn = 0.03;                  // step of what a class costs: about the last thirty answers
 constexpr double kQuiet = 0.3;                   // latencies in the lower 30% hold little contention
 constexpr double kOtherZone = 1.5;               // weight of an engine in another zone, where crossing costs
-constexpr std::size_t kScan = 8;                 // held requests looked at per side when the first can't go
+constexpr double kJam = 4;  // reported threads a core, twice what all fronts' caps allow: nothing more goes
+constexpr std::size_t kScan = 8;  // held requests looked at per side when the first can't go
 
 constexpr double kBacklog = 0.5;  // of the shortest aim: what both sides may hold, at the pace work is done
 constexpr double kDrainStep = 0.02, kDrainLeast = 0.5;  // smoothed over some 50 ticks; cores at least at work
@@ -219,7 +220,6 @@
     std::vector<Action> actions;
     double alpha = 0.5;
 
-private:
     Settings s;
     Micros now;
     std::mt19937_64 rng;
@@ -235,8 +235,7 @@
     std::map<std::string, std::deque<int>> lines;  // requests of a key, in turn
     std::map<std::string, Micros> rests;           // a key rests until then
     std::deque<Micros> taken, further;             // for the budget of attempts
-    std::uint64_t seq = 0;
-    std::uint64_t first_sensitive = 0, first_all = 0;
+    std::uint64_t seq = 0, first_sensitive = 0, first_all = 0;
     double finished_work = 0, drained = 0;  // since the last tick; a microsecond, smoothed
     bool subscribed = false;
     Micros asked = 0, fitted = 0, moved = 0;
@@ -247,7 +246,6 @@
     Stream& stream_of(const Request& r) { return streams[r.cls * tenants.size() + r.tenant]; }
     double uniform() { return static_cast<double>(rng() >> 11) * 0x1p-53; }
 
-public:
     Front(Micros at, std::uint64_t seed, Settings settings) : s(std::move(settings)), now(at), rng(seed) {
         if (s.classes.empty() || s.siblings < 1) throw std::invalid_argument("no classes or no fronts");
         for (const ClassSettings& c : s.classes)
@@ -277,8 +275,8 @@
 
     bool may_try_again(const Request& r) const {
         if (r.finished || r.streaming || now >= r.deadline) return false;
-        if (!s.may_duplicate && r.attempt_out()) return false;
-        if (static_cast<int>(r.attempts.size()) >= s.attempts_cap) return false;
+        const bool spent = static_cast<int>(r.attempts.size()) >= s.attempts_cap;
+        if (spent || (!s.may_duplicate && r.attempt_out())) return false;
         if (r.bound_to >= 0) {  // something may have run
             if (s.classes[r.cls].effect == Effect::once) return false;
             if (s.classes[r.cls].effect == Effect::by_key && now >= r.bound_since + s.classes[r.cls].window)
@@ -501,14 +499,19 @@
                p.memory_granted.value_or(0) > kBusyShare || p.depth.value_or(0) >= 1;
     }
 
-    // Queries of other fronts there, from a load report that is young enough.
+    // Queries there in all, from a load report that is young enough, and those of other fronts.
+    double reported(const Engine& e) const {
+        return now - e.reported > kReportLife ? 0 : e.report.concurrent.value_or(0);
+    }
     double others(const Engine& e) const {
-        if (s.siblings < 2 || now - e.reported > kReportLife || !e.report.concurrent) return 0;
-        return std::max(0.0, *e.report.concurrent - e.out_at_report);
+        return s.siblings < 2 ? 0 : std::max(0.0, reported(e) - e.out_at_report);
     }
 
     bool has_room(const Engine& e, const Request& r) const {
-        if (now < e.full_until) return false;
+        // Jammed: work that no front counts any more runs on there, left by time-outs or by a front that
+        // died.
+        const bool jammed = reported(e) * usual.threads > kJam * e.cores;
+        if (now < e.full_until || jammed) return false;
         if (e.out.empty()) return true;
         if (e.memory > 0 && e.granted + others(e) * usual.memory + r.memory > kMemoryFill * e.memory)
             return false;
@@ -749,8 +752,7 @@
 
     void on(const ListChange& c) {
         if (c.form != ListForm::warm_copy) subscribed = c.form != ListForm::lost;
-        if (c.form == ListForm::lost) return;
-        if (c.form != ListForm::incr)
+        if (c.form == ListForm::total || c.form == ListForm::warm_copy)
             for (Engine& e : engines) e.listed = false;
         for (const EngineEntry& entry : c.engines) {
             const auto [place, fresh] = engine_index.try_emplace(entry.id, static_cast<int>(engines.size()));
@@ -796,8 +798,7 @@
             r.cost = k.work;
         }
         r.raw_memory = d.memory_mb, r.memory = d.memory_mb * k.memory_ratio;
-        r.group = d.group;
-        r.arrival = now, r.deadline = now + d.time_left;
+        r.group = d.group, r.arrival = now, r.deadline = now + d.time_left;
         r.aim = now + std::min(d.time_left, c.aim + static_cast<Micros>(c.aim_stretch * run_time(r)));
         Stream& t = stream_of(r);
         if (t.budget <= 0) {
@@ -845,7 +846,7 @@
         if (c.report) take_report(e, c.report);
         judge(e, c, a);
         if (lingers && !s.may_cancel) {  // work that can't be stopped still weighs on its engine
-            const double left = a.work / a.threads * std::max(0.2, 1 - a.progress);
+            const double left = a.work / a.threads * std::max(0.2, 1 - a.progress) * std::max(1.0, e.slow);
             e.zombies.push_back({now + static_cast<Micros>(left), a.threads});
         }
         if (!never_ran(c.outcome) && r.bound_to < 0) r.bound_to = a.engine, r.bound_since = a.sent;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -259,3 +259,15 @@
     for (int i = 0; i < 10; ++i) rig.demand(nth("b", i), "short");
     EXPECT_EQ(tally(rig, 1)[full], 0);
 }
+
+TEST(Health, AnEngineThatReportsAJamGetsNothing) {
+    for (const double held : {4.0, 100.0}) {
+        Rig rig(plain());
+        rig.list({engine(1)});
+        Report report;
+        report.concurrent = held;
+        rig.feed(Probed{1, 1'000, Outcome::done, report});
+        rig.demand("a", "short");
+        EXPECT_EQ(rig.sends.size(), held < 10 ? 1u : 0u);
+    }
+}
