Without a young report a front keeps to its even part of the knee

Harm: where one front carries nearly all traffic and reports are missing, it holds work that engines could take.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -443,7 +443,7 @@
 
     // ---- Health
 
-    // An engine that gives no use is left alone, for doubling waits, then tried with one request at a time.
+    // Left alone for doubling waits, then tried with one request at a time.
     void shun(Engine& e) {
         if (now < e.shun_until) return;
         e.shun_for = std::clamp(e.shun_for * 2, kShunFirst, kShunMost);
@@ -518,7 +518,10 @@
         double threads = e.threads + s.classes[r.cls].threads;
         for (const Sent& z : e.zombies) threads += z.work;
         const double all = threads + others(e) * usual.threads;
-        if (!under_pressure(e) && all <= kKnee * e.cores) return true;
+        // Without a young report the others are taken to hold as much: each front keeps to its part of the
+        // knee.
+        const double mine = kKnee * e.cores / (reported(e) > 0 ? 1 : s.siblings);
+        if (!under_pressure(e) && all <= mine) return true;
         return threads <= std::max(kLeastCap, kThreadsPerCore * e.cores / s.siblings);
     }
 
@@ -731,8 +734,7 @@
         for (Engine& e : engines) {
             std::erase_if(e.zombies, [&](const Sent& z) { return now >= z.at; });
             while (!e.cold.empty() && e.cold.front().at < now - s.overload_for) e.cold.pop_front();
-            // No note and no answer from an engine that holds work: silent. It is shunned; what may be sent
-            // again is called off and goes elsewhere.
+            // No note and no answer from an engine that holds work: silent. What may move is called off.
             if (s.note_period <= 0 || e.out.empty()) continue;
             const Micros silence = static_cast<Micros>(kSilentNotes * static_cast<double>(s.note_period));
             const Attempt& oldest = requests[e.out.front().first].attempts[e.out.front().second];
@@ -756,7 +758,7 @@
             for (Engine& e : engines) e.listed = false;
         for (const EngineEntry& entry : c.engines) {
             const auto [place, fresh] = engine_index.try_emplace(entry.id, static_cast<int>(engines.size()));
-            if (fresh) engines.emplace_back();
+            if (fresh) engines.emplace_back().alive = now;
             Engine& e = engines[place->second];
             if (entry.came_up > e.entry.came_up) {  // a fresh process: nothing known of the old one holds
                 e.shun_until = e.shun_for = e.full_until = 0;
@@ -766,13 +768,12 @@
             e.listed = entry.state != EngineState::off;
             for (const KindSettings& k : s.kinds)
                 if (k.name == entry.kind) e.cores = std::max(1.0, k.cores), e.memory = k.memory_mb;
-            if (fresh) e.alive = now;
         }
     }
 
     void on(const Demand& d) {
-        const auto type =
-            std::find_if(s.classes.begin(), s.classes.end(), [&](const auto& c) { return c.name == d.type; });
+        const auto called = [&](const ClassSettings& c) { return c.name == d.type; };
+        const auto type = std::find_if(s.classes.begin(), s.classes.end(), called);
         if (type == s.classes.end() || ids.contains(d.id)) return;
         int slot = static_cast<int>(requests.size());
         if (spare.empty()) requests.emplace_back();
@@ -789,7 +790,7 @@
         ClassState& k = classes[r.cls];
         if (d.cost && *d.cost > 0) {
             r.raw_cost = static_cast<double>(*d.cost);
-            if (k.raw <= 0) k.raw = r.raw_cost, k.work = r.raw_cost;
+            if (k.raw <= 0) k.raw = k.work = r.raw_cost;
             approach(k.raw, r.raw_cost, kLearn);
             if (!s.cost_in_answers) k.work = k.raw * k.cost_ratio;
             r.cost = r.raw_cost * k.cost_ratio;
@@ -797,8 +798,8 @@
             if (k.work <= 0) k.work = static_cast<double>(c.aim) * c.threads / 4;
             r.cost = k.work;
         }
-        r.raw_memory = d.memory_mb, r.memory = d.memory_mb * k.memory_ratio;
-        r.group = d.group, r.arrival = now, r.deadline = now + d.time_left;
+        r.raw_memory = d.memory_mb, r.memory = d.memory_mb * k.memory_ratio, r.group = d.group;
+        r.arrival = now, r.deadline = now + d.time_left;
         r.aim = now + std::min(d.time_left, c.aim + static_cast<Micros>(c.aim_stretch * run_time(r)));
         Stream& t = stream_of(r);
         if (t.budget <= 0) {
@@ -903,8 +904,7 @@
 
     void on(const Bell&) {
         actions.push_back(SetTimer{kTick, 0});
-        sweep();
-        shed();
+        sweep(), shed();
         if (now - fitted >= kFitEvery) fitted = now, fit();
         if (now - moved >= kAlphaEvery) moved = now, move_alpha();
         if (s.ask_discovery && !subscribed &&
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -271,3 +271,15 @@
         EXPECT_EQ(rig.sends.size(), held < 10 ? 1u : 0u);
     }
 }
+
+TEST(Design, WithoutReportsAFrontKeepsToItsPartOfTheKnee) {
+    for (const int siblings : {1, 4}) {
+        Settings s = plain();
+        s.siblings = siblings;
+        Rig rig(s);
+        rig.list({engine(1)});
+        for (int i = 0; i < 40; ++i) rig.demand(nth("a", i), "short");
+        EXPECT_LE(rig.sends.size(), 16u / siblings);  // two threads a core, split evenly
+        EXPECT_GE(rig.sends.size(), 12u / siblings);  // under the knee nothing is held
+    }
+}
