--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -4,7 +4,6 @@
 #include "brain.hpp"
 
 #include <algorithm>
-#include <array>
 #include <boost/math/special_functions/digamma.hpp>
 #include <boost/math/special_functions/trigamma.hpp>
 #include <cmath>
@@ -44,7 +43,7 @@
 constexpr double kBusyShare = 0.9;   // reported share of cores, disks or memory that counts as busy
 constexpr Micros kFullFirst = 200 * kMs, kFullMost = 2 * kSecond;  // rest of a full engine, doubling
 constexpr Micros kReportLife = 3 * kSecond;                        // an older load report says nothing
-constexpr double kMemoryFill = 0.95;             // own grants past this share of an engine's memory: full
+constexpr double kMemoryFill = 0.95;             // memory known to be taken past this share: full
 constexpr double kGrant = 1.25, kGrantFree = 3;  // grant over the estimate; the latter where it is free
 constexpr double kLearn = 0.03;                  // step of what a class costs: about the last thirty answers
 constexpr double kQuiet = 0.3;                   // latencies in the lower 30% hold little contention
@@ -508,8 +507,7 @@
     }
 
     bool has_room(const Engine& e, const Request& r) const {
-        // Jammed: work that no front counts any more runs on there, left by time-outs or by a front that
-        // died.
+        // Jammed: work that no front counts any more runs on there, left by time-outs or by a dead front.
         const bool jammed = reported(e) * usual.threads > kJam * e.cores;
         if (now < e.full_until || jammed) return false;
         if (e.out.empty()) return true;
@@ -518,8 +516,7 @@
         double threads = e.threads + s.classes[r.cls].threads;
         for (const Sent& z : e.zombies) threads += z.work;
         const double all = threads + others(e) * usual.threads;
-        // Without a young report the others are taken to hold as much: each front keeps to its part of the
-        // knee.
+        // Without a young report others are taken to hold as much: each front keeps to its part of the knee.
         const double mine = kKnee * e.cores / (reported(e) > 0 ? 1 : s.siblings);
         if (!under_pressure(e) && all <= mine) return true;
         return threads <= std::max(kLeastCap, kThreadsPerCore * e.cores / s.siblings);
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -12,7 +12,7 @@
 namespace {
 std::string nth(const char* name, int i) { return name + std::to_string(i); }
 
-// Answers everything out at once with one outcome; returns how many went to each engine since `from`.
+// How many sends went to each engine since `from`.
 std::map<EngineId, int> tally(const Rig& rig, std::size_t from) {
     std::map<EngineId, int> count;
     for (std::size_t i = from; i < rig.sends.size(); ++i) ++count[rig.sends[i].engine];
