--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <stdexcept>
+#include <tuple>
 #include <unordered_map>
 
 namespace gatetiller {
@@ -19,7 +20,7 @@
 
 // ---- Constants
 
-constexpr Micros kMs = 1000, kSecond = 1000 * kMs;
+constexpr Micros kMs = 1000, kSecond = 1000 * kMs, kNever = 1'000'000 * kSecond;
 
 // The design's figures (the paper's defaults where it has them).
 constexpr double kZeta = 0.95, kTheta = 0.98;  // allowed range of U/target
@@ -34,14 +35,14 @@
 constexpr double kCvLow = 0.03, kCvHigh = 20;    // beyond these the shape is flat or a spike for any use
 constexpr double kSensitiveRun = 1.0 * kSecond;  // usual run time of a sensitive class is under this
 constexpr double kSwitch = 0.1;                  // a class changes side only past the limit by this share
-constexpr std::uint64_t kSeedCount = 100;        // alpha is the sensitive share of so many first requests
+constexpr double kSeedCount = 100;        // alpha is the sensitive share of so many first requests
 constexpr double kThreadsPerCore = 2, kLeastCap = 2;  // C; three a core, the start value, passed the knee
 constexpr double kKnee = 1.5;  // threads a core, of all fronts, past which an engine is under pressure
 
 // Pressure and weight.
 constexpr double kSlowPressure = 2;  // latency over best at which an engine is under pressure
 constexpr double kBusyShare = 0.9;   // reported share of cores, disks or memory that counts as busy
-constexpr Micros kFullFirst = 200 * kMs, kFullMost = 2 * kSecond;  // rest of a full engine, doubling
+constexpr Micros kFullRest = kSecond;  // rest of a full engine: about a long query's run
 constexpr Micros kReportLife = 3 * kSecond;                        // an older load report says nothing
 constexpr double kMemoryFill = 0.95;             // memory known to be taken past this share: full
 constexpr double kGrant = 1.25, kGrantFree = 3;  // grant over the estimate; the latter where it is free
@@ -51,10 +52,12 @@
 constexpr double kJam = 4;  // reported threads a core, twice what all fronts' caps allow: nothing more goes
 constexpr std::size_t kScan = 8;  // held requests looked at per side when the first can't go
 
-constexpr double kBacklog = 0.5;  // of the shortest aim: what both sides may hold, at the pace work is done
-constexpr double kDrainStep = 0.02, kDrainLeast = 0.5;  // smoothed over some 50 ticks; cores at least at work
+constexpr double kBacklog = 0.5;  // of the shortest aim: what both sides may hold, at this front's part
 
 // Health.
+constexpr double kProbeShare = 0.4;  // probes for each request taken, at most
+constexpr double kOverdue = 1.5;        // expected runs after which an attempt counts as stuck
+constexpr double kCrowdStep = 0.1;   // the fleet's crowd: about the last ten reports
 constexpr double kSmooth = 0.1;  // EWMA step of ratios: about the last ten
 constexpr double kErrorStep = 0.15, kErrorTrial = 0.1, kErrorShun = 0.25;  // two errors in a row shun
 constexpr Micros kShunFirst = 500 * kMs, kShunMost = 4 * kSecond;
@@ -64,6 +67,7 @@
 
 // Rules.
 constexpr double kColdMargin = 0.6;         // of this front's part of a cold engine's budget: speeds vary
+constexpr double kLotMost = 0.1;  // of a cold engine's budget, for one query by lot
 constexpr double kCapacityBusy = 0.85;      // capacity is counted at this share of the cores
 constexpr Micros kAnswerMargin = 15 * kMs;  // final answers go out this long before the client gives up
 constexpr Micros kTick = 25 * kMs, kFitEvery = 500 * kMs, kAlphaEvery = kSecond, kProbeEvery = kSecond;
@@ -124,7 +128,8 @@
     Micros sent = 0;
     double work = 0, threads = 0, memory = 0;  // as expected when sent
     double progress = 0;
-    bool open = true;
+    double expected() const { return std::max(work / threads, 1.0 * kMs); }
+    bool open = true, sensitive = false, counted = true;  // counted in this front's part
 };
 
 struct Request {
@@ -144,31 +149,26 @@
     Side side = Side::behind;  // where it is held
     Micros rank = 0;           // and at which place: least first
     bool shed = false;
-
     bool attempt_out() const {
         return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
     }
 };
 
-struct Sent {
-    Micros at;
-    double work;
-};
-
 struct Engine {
+    bool takes() const { return listed && entry.state == EngineState::on; }
     EngineEntry entry;
     bool listed = false;
     double cores = 1, memory = 0;
     std::vector<std::pair<int, int>> out;  // slot and attempt of what is out there
-    std::vector<Sent> zombies;             // given up but perhaps still running: until when, and threads
     double threads = 0, granted = 0;
-    std::deque<Sent> cold;  // sent while cold, in the last window
+    std::deque<std::pair<Micros, double>> cold;  // when and what work was sent while cold, in the last window
     Report report;
     Micros reported = -kReportLife;
     int out_at_report = 0;
     double slow = 1;    // latency over expected run time
     double errors = 0;  // recent share of errors
-    Micros shun_until = 0, shun_for = 0, full_until = 0, full_for = 0, alive = 0, probed = 0;
+    double lot = 1;     // this front's draw for a cold engine's budget
+    Micros shun_until = 0, shun_for = 0, full_until = 0, alive = 0, probed = 0, lot_until = 0;
     bool down = false;  // the last word was that it takes no connection
 };
 
@@ -176,7 +176,6 @@
     double cost_ratio = 1, memory_ratio = 1;            // true over estimate
     double work = 0, raw = 0, memory = 0, threads = 1;  // usual work, estimate of it, memory
     bool sensitive = false;
-    double usual_run(double width) const { return work / width; }
 };
 
 struct Sample {
@@ -190,12 +189,7 @@
     double cv = 1, service = 0, budget = 0, eta = 0;
 };
 
-struct Key {  // a place in a queue
-    Micros rank;
-    std::uint64_t seq;
-    int slot;
-    auto operator<=>(const Key&) const = default;
-};
+using Key = std::tuple<Micros, std::uint64_t, int>;  // a place in a queue: rank, age, slot
 
 struct Tenant {
     std::set<Key> queue;  // best-effort requests held
@@ -234,12 +228,16 @@
     std::map<std::string, std::deque<int>> lines;  // requests of a key, in turn
     std::map<std::string, Micros> rests;           // a key rests until then
     std::deque<Micros> taken, further;             // for the budget of attempts
-    std::uint64_t seq = 0, first_sensitive = 0, first_all = 0;
-    double finished_work = 0, drained = 0;  // since the last tick; a microsecond, smoothed
+    std::uint64_t seq = 0;
+    double first_sensitive = 0, first_all = 0;
     bool subscribed = false;
-    Micros asked = 0, fitted = 0, moved = 0;
+    Micros asked = 0, fitted = 0, moved = 0, heard = -kNever;
 
-    ClassState usual;  // of one query, whatever its class
+    ClassState usual;  // of one query that runs, whatever its class
+    // Of the fleet, for engines not heard of lately: threads a core, and latency over expected run time.
+    double crowd = 0, pace = 1, fleet_cores = 0;
+    double out_threads = 0, probe_credit = 1, shortest_aim = kNever;
+    int out_of_side[2] = {0, 0};
 
     double run_time(const Request& r) const { return r.cost / s.classes[r.cls].threads; }
     Stream& stream_of(const Request& r) { return streams[r.cls * tenants.size() + r.tenant]; }
@@ -250,6 +248,7 @@
         for (const ClassSettings& c : s.classes)
             if (c.threads <= 0 || c.deadline <= 0 || c.aim <= 0 || c.aim > c.deadline)
                 throw std::invalid_argument("class " + c.name + ": aim, deadline or threads don't fit");
+            else shortest_aim = std::min(shortest_aim, static_cast<double>(c.aim));
         classes.resize(s.classes.size());
         tenants.resize(std::max<std::size_t>(1, s.tenants.size()));
         for (std::size_t t = 0; t < s.tenants.size(); ++t)
@@ -269,7 +268,7 @@
 
     double cold_budget(const Engine& e) const {
         return kColdMargin * s.overload_factor * s.cold_share * kCapacityBusy * e.cores *
-               static_cast<double>(s.overload_for) / s.siblings;
+               static_cast<double>(s.overload_for);
     }
 
     bool may_try_again(const Request& r) const {
@@ -298,18 +297,20 @@
     bool may_send(const Request& r, int index) const {
         const Engine& e = engines[index];
         const ClassSettings& c = s.classes[r.cls];
-        if (!e.listed || e.entry.state != EngineState::on) return false;
+        if (!e.takes()) return false;
         if (!holds(c.served_on, e.entry.kind) || !holds(c.azs_open, e.entry.zone)) return false;
         if (r.bound_to >= 0 && c.effect == Effect::by_key) {
             const EngineEntry& first = engines[r.bound_to].entry;
-            if (c.key_scope == Scope::zone && first.zone != e.entry.zone) return false;
-            if (c.key_scope == Scope::cell && (first.cell != e.entry.cell || first.zone != e.entry.zone))
-                return false;
+            if (c.key_scope != Scope::all && first.zone != e.entry.zone) return false;
+            if (c.key_scope == Scope::cell && first.cell != e.entry.cell) return false;
         }
         if (is_cold(e)) {
-            double sum = classes[r.cls].work;
-            for (const Sent& sent : e.cold) sum += sent.work;
-            if (sum > cold_budget(e)) return false;
+            const double work = classes[r.cls].work, part = cold_budget(e) / s.siblings;
+            double sum = work;
+            for (const auto& [at, sent] : e.cold) sum += sent;
+            // A part smaller than a query is drawn for: so many fronts may send one that all parts are used.
+            const bool drawn = e.cold.empty() && work <= kLotMost * cold_budget(e) && e.lot * work <= part;
+            if (sum > part && !drawn) return false;
         }
         return may_try_again(r);
     }
@@ -336,11 +337,12 @@
         }
         actions.push_back(Send{r.id, e.entry.id, time_out(r, e)});
         if (!r.attempts.empty()) further.push_back(now);
-        if (is_cold(e)) e.cold.push_back({now, classes[r.cls].work});
-        r.attempts.push_back({index, now, r.cost, s.classes[r.cls].threads, r.memory, 0, true});
+        if (is_cold(e)) e.cold.emplace_back(now, classes[r.cls].work);
+        const double width = s.classes[r.cls].threads;
+        r.attempts.push_back({index, now, r.cost, width, r.memory, 0, true, classes[r.cls].sensitive});
+        out_threads += width, ++out_of_side[classes[r.cls].sensitive];
         e.out.emplace_back(slot, static_cast<int>(r.attempts.size()) - 1);
-        e.threads += r.attempts.back().threads;
-        e.granted += r.memory;
+        e.threads += width, e.granted += r.memory;
     }
 
     void end(int slot) {
@@ -348,9 +350,8 @@
         if (r.finished) return;
         unqueue(slot);
         if (may_refuse(r)) {
-            const Micros hint =
-                static_cast<Micros>(static_cast<double>(s.max_retry_after) * (0.5 + 0.5 * uniform()));
-            actions.push_back(Refuse{r.id, s.retry_hints ? hint : 0});
+            const double hint = static_cast<double>(s.max_retry_after) * (0.5 + 0.5 * uniform());
+            actions.push_back(Refuse{r.id, s.retry_hints ? static_cast<Micros>(hint) : 0});
         } else {
             actions.push_back(Fail{r.id});
         }
@@ -397,15 +398,15 @@
         const double latency = static_cast<double>(now - r.arrival);
         const double u = now <= r.aim ? 0 : now <= r.deadline ? kHalf : 1;
         t.window.push_back({now, latency, static_cast<double>(time), u});
-        const double expected = std::max(a.work / a.threads, 1.0 * kMs);
-        approach(engines[a.engine].slow, std::clamp(static_cast<double>(time) / expected, 0.2, 20.0));
+        const double slow = std::clamp(static_cast<double>(time) / a.expected(), 0.2, 20.0);
+        approach(engines[a.engine].slow, slow), approach(pace, slow);
     }
 
     void fit_stream(Stream& t, std::size_t cls) {
         while (!t.window.empty() && (t.window.size() > kWindowCount || t.window[0].at < now - kWindowSpan))
             t.window.pop_front();
         const ClassSettings& c = s.classes[cls];
-        const double run = classes[cls].usual_run(c.threads), n = static_cast<double>(t.window.size());
+        const double run = classes[cls].work / c.threads, n = static_cast<double>(t.window.size());
         double latency = 0, square = 0, engine_time = 0, disengaged = 0;
         for (const Sample& x : t.window) {
             latency += x.latency / n, square += x.latency * x.latency / n;
@@ -422,9 +423,8 @@
 
     void fit() {
         for (std::size_t k = 0; k < classes.size(); ++k) {
-            const double run = classes[k].usual_run(s.classes[k].threads);
             const double limit = kSensitiveRun * (classes[k].sensitive ? 1 + kSwitch : 1 - kSwitch);
-            classes[k].sensitive = run < limit;
+            classes[k].sensitive = classes[k].work / s.classes[k].threads < limit;
             for (std::size_t t = 0; t < tenants.size(); ++t) fit_stream(streams[k * tenants.size() + t], k);
         }
     }
@@ -454,7 +454,8 @@
         e.alive = now;
         if (!report) return;
         e.report = *report;
-        e.reported = now;
+        e.reported = heard = now;
+        if (report->concurrent) approach(crowd, *report->concurrent * usual.threads / e.cores, kCrowdStep);
         e.out_at_report = static_cast<int>(e.out.size());
     }
 
@@ -462,14 +463,11 @@
         const Outcome o = c.outcome;
         e.down = o == Outcome::econnrefused || (e.down && o != Outcome::done);
         if (o == Outcome::done) {
-            e.errors *= 1 - kErrorStep, e.full_for = 0;
+            e.errors *= 1 - kErrorStep;
             if (e.errors < kErrorTrial) e.shun_for = 0;
         } else if (o == Outcome::err) {
             e.errors += kErrorStep * (1 - e.errors);
-        } else if (o == Outcome::busy && now >= e.full_until) {
-            // A full engine answers at once and holds little of ours, so it would look light.
-            e.full_for = std::clamp(2 * e.full_for, kFullFirst, kFullMost), e.full_until = now + e.full_for;
-        }
+        } else if (o == Outcome::busy) e.full_until = now + kFullRest;  // it would look light
         const bool silent = o == Outcome::etimedout && e.alive < a.sent;  // no sign of life since
         const bool failing = o == Outcome::err && e.errors >= kErrorShun;
         if (silent || failing || o == Outcome::econnrefused || o == Outcome::econnreset) shun(e);
@@ -479,17 +477,15 @@
         return now >= e.shun_until && (e.errors < kErrorTrial || e.out.empty());
     }
 
-    double usual_slow() const {  // the median: what all share is no engine's fault
-        std::vector<double> all;
-        for (const Engine& e : engines)
-            if (e.listed) all.push_back(e.slow);
-        if (all.empty()) return 1;
-        std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
-        return std::max(1.0, all[all.size() / 2]);
-    }
+    double usual_slow() const { return std::max(1.0, pace); }  // what all share is no engine's fault
 
     // ---- Pick and cap
 
+    void release(Attempt& a) {
+        if (!std::exchange(a.counted, false)) return;
+        out_threads -= a.threads, --out_of_side[a.sensitive];
+    }
+
     bool under_pressure(const Engine& e) const {
         if (e.slow > kSlowPressure) return true;
         if (now - e.reported > kReportLife) return false;
@@ -500,26 +496,33 @@
 
     // Queries there in all, from a load report that is young enough, and those of other fronts.
     double reported(const Engine& e) const {
-        return now - e.reported > kReportLife ? 0 : e.report.concurrent.value_or(0);
-    }
+        const double told = e.report.concurrent.value_or(0);
+        const double usual_there = crowded() * e.cores / usual.threads;
+        // It holds for as long as what it counts takes to run, fading into what the fleet holds.
+        const double life = std::max<double>(kReportLife, told * usual.work / e.cores);
+        return told + (usual_there - told) * std::min(1.0, static_cast<double>(now - e.reported) / life);
+    }
+    // With no young report the fleet is taken to be at the knee: each front keeps to its part of C.
+    double crowded() const { return now - heard <= kReportLife ? crowd : kKnee; }
     double others(const Engine& e) const {
         return s.siblings < 2 ? 0 : std::max(0.0, reported(e) - e.out_at_report);
     }
 
     bool has_room(const Engine& e, const Request& r) const {
         // Jammed: work that no front counts any more runs on there, left by time-outs or by a dead front.
-        const bool jammed = reported(e) * usual.threads > kJam * e.cores;
-        if (now < e.full_until || jammed) return false;
-        if (e.out.empty()) return true;
-        if (e.memory > 0 && e.granted + others(e) * usual.memory + r.memory > kMemoryFill * e.memory)
-            return false;
-        double threads = e.threads + s.classes[r.cls].threads;
-        for (const Sent& z : e.zombies) threads += z.work;
-        const double all = threads + others(e) * usual.threads;
-        // Without a young report others are taken to hold as much: each front keeps to its part of the knee.
-        const double mine = kKnee * e.cores / (reported(e) > 0 ? 1 : s.siblings);
-        if (!under_pressure(e) && all <= mine) return true;
-        return threads <= std::max(kLeastCap, kThreadsPerCore * e.cores / s.siblings);
+        if (now < e.full_until || reported(e) * usual.threads > kJam * e.cores) return false;
+        const double taken_mb = e.granted + others(e) * usual.memory;
+        if (e.memory > 0 && taken_mb > 0 && taken_mb + r.memory > kMemoryFill * e.memory) return false;
+        const double width = s.classes[r.cls].threads, threads = e.threads + width;
+        if (!under_pressure(e) && threads + others(e) * usual.threads <= kKnee * e.cores) return true;
+        // Where fronts outnumber threads, C for each engine is under one query: it binds over the fleet too.
+        // Sensitive queries pass while reports tell of room, best-effort ones wait while they tell of none;
+        // one of each side may else be out.
+        const double part = kThreadsPerCore / s.siblings;
+        const bool quick = classes[r.cls].sensitive, passes = quick && crowded() < kKnee;
+        if (!quick && crowded() > kThreadsPerCore) return false;
+        if (!passes && out_of_side[quick] > 0 && out_threads + width > part * fleet_cores) return false;
+        return e.out.empty() || threads <= std::max(kLeastCap, part * e.cores);
     }
 
     double load(const Engine& e, const Request& r) const {
@@ -534,38 +537,30 @@
                 (c.yields_to_loads || c.holds_group))
                 work += left / a.threads * e.cores;  // it would stand still until that load ends
         }
-        for (const Sent& z : e.zombies)
-            work += z.work * static_cast<double>(std::max<Micros>(0, z.at - now)) / 2;
         work += others(e) * usual.work;
-        double capacity = e.cores;
-        if (is_cold(e) && s.warm_up > 0)
-            capacity *= s.cold_share + (1 - s.cold_share) * static_cast<double>(now - e.entry.came_up) /
-                                           static_cast<double>(s.warm_up);
+        const double up = static_cast<double>(now - e.entry.came_up);
+        const double warm = is_cold(e) ? up / static_cast<double>(s.warm_up) : 1;
+        const double capacity = e.cores * (s.cold_share + (1 - s.cold_share) * warm);
         const double slow = std::max(1.0, e.slow / usual_slow());
         const bool crosses = s.cross_zone_price > 0 && e.entry.zone != s.zone;
         return work / std::max(capacity, 0.1) * slow * (crosses ? kOtherZone : 1);
     }
 
     int pick(const Request& r) {
-        std::vector<int> able;
-        const int last = r.attempts.empty() ? -1 : r.attempts.back().engine;
-        int bad = 0, all = 0;
-        for (const Engine& e : engines)
-            if (e.listed && e.entry.state == EngineState::on) ++all, bad += !ready(e);
-        const bool shared = bad * 2 > all;  // most look bad: the cause is likely shared, and none is shunned
-        for (int pass = 0; pass < 2 && able.empty(); ++pass)
-            for (int i = 0; i < static_cast<int>(engines.size()); ++i) {
-                const Engine& e = engines[i];
-                if ((ready(e) || (shared && !e.down)) && (i == last) == (pass == 1) && may_send(r, i) &&
-                    has_room(e, r))
-                    able.push_back(i);
-            }
+        int bad = 0;
+        for (const Engine& e : engines) bad += e.takes() ? (ready(e) ? -1 : 1) : 0;
+        std::vector<int> able;  // where most look bad the cause is likely shared, and none is shunned
+        for (int i = 0; i < static_cast<int>(engines.size()); ++i)
+            if (const Engine& e = engines[i];
+                (ready(e) || (bad > 0 && !e.down)) && may_send(r, i) && has_room(e, r))
+                able.push_back(i);
+        if (able.size() > 1 && !r.attempts.empty()) std::erase(able, r.attempts.back().engine);
         if (able.empty()) return -1;
-        const std::size_t a = static_cast<std::size_t>(uniform() * static_cast<double>(able.size()));
-        if (able.size() == 1) return able[a];
-        std::size_t b = static_cast<std::size_t>(uniform() * static_cast<double>(able.size() - 1));
-        if (b >= a) ++b;
-        return load(engines[able[a]], r) <= load(engines[able[b]], r) ? able[a] : able[b];
+        const auto draw = [&] { return able[rng() % able.size()]; };
+        const int first = draw();
+        if (able.size() > 1) std::erase(able, first);
+        const int second = draw();
+        return load(engines[first], r) <= load(engines[second], r) ? first : second;
     }
 
     int priority_of(const Request& r) const {
@@ -578,11 +573,10 @@
 
     // A try at an engine under suspicion ends early where it could not be called off later.
     Micros time_out(const Request& r, const Engine& e) const {
-        const Micros left = r.deadline - now;
         const bool last = static_cast<int>(r.attempts.size()) + 1 >= s.attempts_cap;
-        if (s.may_cancel || e.errors < kErrorTrial || last || s.classes[r.cls].effect == Effect::once)
-            return left;
-        return std::min(left, static_cast<Micros>(kTimeOutRuns * run_time(r) * usual_slow()));
+        const bool stays = s.may_cancel || last || s.classes[r.cls].effect == Effect::once;
+        if (stays || e.errors < kErrorTrial) return r.deadline - now;
+        return std::min(r.deadline - now, static_cast<Micros>(kTimeOutRuns * run_time(r) * usual_slow()));
     }
 
     // ---- Slots: alpha splits them between earliest-due sensitive streams and best-effort tenants in turn
@@ -622,16 +616,16 @@
 
     bool serve_from(std::set<Key>& held) {
         std::size_t looked = 0;
-        for (const Key& key : held) {
+        for (const auto& [rank, age, slot] : held) {
             if (++looked > kScan) break;
-            const Request& r = requests[key.slot];
+            const Request& r = requests[slot];
             if (now < r.not_before) continue;
             const int e = pick(r);
             if (e < 0) continue;
             if (r.side == Side::best_effort)
                 tenants[r.tenant].pass +=
                     r.cost / std::max(s.tenants.empty() ? 1 : s.tenants[r.tenant].share, 0.01);
-            send(key.slot, e);
+            send(slot, e);
             return true;
         }
         return false;
@@ -678,16 +672,12 @@
     // goes behind until the rest fits in a part of the shortest aim. Guards against waves of any origin, and
     // against few engines. Harm: a class of costly requests is served last for as long as the overload lasts.
     void shed() {
-        approach(drained, std::exchange(finished_work, 0) / static_cast<double>(kTick), kDrainStep);
-        double cores = 0, work = 0, aim = static_cast<double>(s.classes[0].aim);
-        for (const Engine& e : engines) cores += e.listed ? e.cores : 0;
-        for (const ClassSettings& c : s.classes) aim = std::min(aim, static_cast<double>(c.aim));
+        double work = 0;
         std::vector<std::pair<double, int>> held;
         for (std::size_t i = 0; i < requests.size(); ++i)
             if (const Request& r = requests[i]; r.queued && r.side != Side::behind)
                 held.emplace_back(price(r), static_cast<int>(i)), work += r.cost;
-        const double limit = std::max(drained, kDrainLeast * cores / s.siblings) * kBacklog * aim;
-        if (work <= limit) return;
+        const double limit = fleet_cores / s.siblings * kBacklog * shortest_aim;
         std::sort(held.rbegin(), held.rend());
         for (const auto& [price, slot] : held) {
             if (work <= limit) break;
@@ -729,8 +719,13 @@
             }
         }
         for (Engine& e : engines) {
-            std::erase_if(e.zombies, [&](const Sent& z) { return now >= z.at; });
-            while (!e.cold.empty() && e.cold.front().at < now - s.overload_for) e.cold.pop_front();
+            approach(e.slow, 1, static_cast<double>(kTick) / kWindowSpan);  // what is not seen again fades
+            for (const auto& [slot, n] : e.out) {  // what is stuck must not bar other engines
+                Attempt& a = requests[slot].attempts[n];
+                if (static_cast<double>(now - a.sent) > kOverdue * (a.expected() + kSecond)) release(a);
+            }
+            while (!e.cold.empty() && e.cold.front().first < now - s.overload_for) e.cold.pop_front();
+            if (now >= e.lot_until) e.lot = uniform(), e.lot_until = now + s.overload_for;
             // No note and no answer from an engine that holds work: silent. What may move is called off.
             if (s.note_period <= 0 || e.out.empty()) continue;
             const Micros silence = static_cast<Micros>(kSilentNotes * static_cast<double>(s.note_period));
@@ -757,6 +752,7 @@
             const auto [place, fresh] = engine_index.try_emplace(entry.id, static_cast<int>(engines.size()));
             if (fresh) engines.emplace_back().alive = now;
             Engine& e = engines[place->second];
+            if (fresh) e.probed = now - static_cast<Micros>((1 + uniform()) * kProbeEvery);
             if (entry.came_up > e.entry.came_up) {  // a fresh process: nothing known of the old one holds
                 e.shun_until = e.shun_for = e.full_until = 0;
                 e.errors = 0, e.slow = 1, e.down = false;
@@ -766,6 +762,8 @@
             for (const KindSettings& k : s.kinds)
                 if (k.name == entry.kind) e.cores = std::max(1.0, k.cores), e.memory = k.memory_mb;
         }
+        fleet_cores = 0;
+        for (const Engine& e : engines) fleet_cores += e.listed ? e.cores : 0;
     }
 
     void on(const Demand& d) {
@@ -783,6 +781,7 @@
             if (s.tenants[t].name == d.tenant) r.tenant = static_cast<int>(t);
         ids.emplace(r.id, slot);
         taken.push_back(now);
+        probe_credit = std::min(probe_credit + kProbeShare, 2.0);
         const ClassSettings& c = s.classes[r.cls];
         ClassState& k = classes[r.cls];
         if (d.cost && *d.cost > 0) {
@@ -800,7 +799,7 @@
         r.aim = now + std::min(d.time_left, c.aim + static_cast<Micros>(c.aim_stretch * run_time(r)));
         Stream& t = stream_of(r);
         if (t.budget <= 0) {
-            k.sensitive = k.usual_run(c.threads) < kSensitiveRun;
+            k.sensitive = k.work / c.threads < kSensitiveRun;
             fit_stream(t, static_cast<std::size_t>(r.cls));
         }
         r.due = now + static_cast<Micros>(t.budget - t.service);
@@ -812,11 +811,13 @@
             r.over_share = q.tokens < 1;
             q.tokens -= !r.over_share;
         }
-        approach(usual.work, r.cost), approach(usual.memory, r.memory), approach(usual.threads, c.threads);
+        // What an engine holds at a moment is mostly long queries: weighted by run time.
+        approach(usual.raw, run_time(r), kLearn);
+        const double step = std::min(1.0, kLearn * run_time(r) / std::max(usual.raw, 1.0));
+        approach(usual.work, r.cost, step), approach(usual.memory, r.memory, step);
+        approach(usual.threads, c.threads, step);
         ++first_all, first_sensitive += k.sensitive;
-        if (first_all <= kSeedCount)
-            alpha = std::clamp(static_cast<double>(first_sensitive) / static_cast<double>(first_all),
-                               kAlphaLow, kAlphaHigh);
+        if (first_all <= kSeedCount) alpha = std::clamp(first_sensitive / first_all, kAlphaLow, kAlphaHigh);
         if (c.in_turn && !d.key.empty()) {
             r.key = d.key, r.in_line = true;
             lines[r.key].push_back(slot);
@@ -839,17 +840,13 @@
         a.open = false;
         std::erase(e.out, std::pair(slot, c.attempt));
         e.threads -= a.threads, e.granted -= a.memory;
+        release(a);
         const bool lingers = c.outcome == Outcome::etimedout || c.outcome == Outcome::ecanceled;
         if (!lingers && c.outcome != Outcome::econnrefused) e.alive = now;
         if (c.report) take_report(e, c.report);
         judge(e, c, a);
-        if (lingers && !s.may_cancel) {  // work that can't be stopped still weighs on its engine
-            const double left = a.work / a.threads * std::max(0.2, 1 - a.progress) * std::max(1.0, e.slow);
-            e.zombies.push_back({now + static_cast<Micros>(left), a.threads});
-        }
         if (!never_ran(c.outcome) && r.bound_to < 0) r.bound_to = a.engine, r.bound_since = a.sent;
         if (c.outcome == Outcome::done) {
-            finished_work += r.cost;
             learn(r, a, c);
             observe_latency(r, a, c.taken);
         }
@@ -872,12 +869,13 @@
         engines[a.engine].alive = now;
         if (n.topic != NoteTopic::progress || !a.open) return;
         a.progress = std::clamp(n.value, 0.0, 1.0);
+        const double lasts = static_cast<double>(now - a.sent) / std::max(a.progress, 0.01);
+        approach(engines[a.engine].slow, std::clamp(lasts / a.expected(), 0.2, 20.0));
         // Guards against an attempt that gets on far slower than a fresh one would: a bad plan, or an engine
         // that is slow alone. It is called off and sent again. When all engines are slow, so is the measure.
         // Harm: work done is lost, so where costs are far over their estimates this repeats it, once a try.
         const Request& r = requests[slot];
-        const double left = static_cast<double>(now - a.sent) * (1 - a.progress) / std::max(a.progress, 0.01);
-        if (may_move(r) && left > kRunaway * run_time(r) * usual_slow())
+        if (may_move(r) && lasts * (1 - a.progress) > kRunaway * run_time(r) * usual_slow())
             actions.push_back(Cancel{r.id, n.attempt});
     }
 
@@ -909,12 +907,17 @@
             asked = now;
             actions.push_back(Observe{});
         }
-        if (s.may_probe && s.reports == ReportSource::probe)
-            for (Engine& e : engines)
-                if (e.listed && e.entry.state == EngineState::on && now - e.probed >= kProbeEvery) {
-                    e.probed = now;
-                    actions.push_back(Probe{e.entry.id});
-                }
+        if (s.may_probe && s.reports == ReportSource::probe) probe();
+    }
+
+    // The engine not asked for longest, at most once a second each, and within a share of the requests taken.
+    void probe() {
+        Engine* next = nullptr;
+        for (Engine& e : engines)
+            if (e.takes() && (!next || e.probed < next->probed)) next = &e;
+        if (!next || probe_credit < 1 || now - next->probed < kProbeEvery) return;
+        probe_credit -= 1, next->probed = now;
+        actions.push_back(Probe{next->entry.id});
     }
 
     void take(Micros at, const Event& event) {
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -280,6 +280,6 @@
         rig.list({engine(1)});
         for (int i = 0; i < 40; ++i) rig.demand(nth("a", i), "short");
         EXPECT_LE(rig.sends.size(), 16u / siblings);  // two threads a core, split evenly
-        EXPECT_GE(rig.sends.size(), 12u / siblings);  // under the knee nothing is held
+        EXPECT_GE(rig.sends.size(), 12u / siblings);  // and not far under the knee
     }
 }
