--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,12 +44,12 @@
 constexpr double kBusyShare = 0.9;   // reported share of cores, disks or memory that counts as busy
 constexpr Micros kFullRest = kSecond;  // rest of a full engine: about a long query's run
 constexpr Micros kReportLife = 3 * kSecond;                        // an older load report says nothing
-constexpr double kMemoryFill = 0.95;             // memory known to be taken past this share: full
+constexpr double kMemoryFill = 0.95, kReckoned = 0.75;  // share that is full; sure part of what others hold
 constexpr double kGrant = 1.25, kGrantFree = 3;  // grant over the estimate; the latter where it is free
 constexpr double kLearn = 0.03;                  // step of what a class costs: about the last thirty answers
 constexpr double kQuiet = 0.3;                   // latencies in the lower 30% hold little contention
 constexpr double kOtherZone = 1.5;               // weight of an engine in another zone, where crossing costs
-constexpr double kJam = 4;  // reported threads a core, twice what all fronts' caps allow: nothing more goes
+constexpr double kJam = 2.5;  // reported threads a core, a quarter past C for all fronts: nothing more goes
 constexpr std::size_t kScan = 8;  // held requests looked at per side when the first can't go
 
 constexpr double kBacklog = 0.5;  // of the shortest aim: what both sides may hold, at this front's part
@@ -511,7 +511,7 @@
     bool has_room(const Engine& e, const Request& r) const {
         // Jammed: work that no front counts any more runs on there, left by time-outs or by a dead front.
         if (now < e.full_until || reported(e) * usual.threads > kJam * e.cores) return false;
-        const double taken_mb = e.granted + others(e) * usual.memory;
+        const double taken_mb = e.granted + kReckoned * others(e) * usual.memory;
         if (e.memory > 0 && taken_mb > 0 && taken_mb + r.memory > kMemoryFill * e.memory) return false;
         const double width = s.classes[r.cls].threads, threads = e.threads + width;
         if (!under_pressure(e) && threads + others(e) * usual.threads <= kKnee * e.cores) return true;
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,176 @@
+// Many fronts on many engines, where a front's part of an engine is less than one query.
+#include <gtest/gtest.h>
+
+#include "rig.hpp"
+
+using namespace gatetiller;
+using namespace gatetiller::testing;
+
+namespace {
+
+Settings one_of(int fronts) {
+    Settings s = plain();
+    s.siblings = fronts;
+    return s;
+}
+std::vector<EngineEntry> fleet(EngineId count) {
+    std::vector<EngineEntry> all;
+    for (EngineId id = 1; id <= count; ++id) all.push_back(engine(id));
+    return all;
+}
+// A short query that comes back at once from whatever engine had it, with so many queries reported there.
+void hear(Rig& rig, const std::string& id, double concurrent) {
+    rig.demand(id, "short");
+    ASSERT_FALSE(rig.sends.empty());
+    ASSERT_EQ(rig.sends.back().id, id);
+    Completed c;
+    c.id = id, c.engine = rig.sends.back().engine, c.taken = 100'000, c.finished = true;
+    c.report = Report{};
+    c.report->concurrent = concurrent;
+    rig.feed(c);
+}
+int count_of(const std::vector<Send>& sends, char first) {
+    int n = 0;
+    for (const Send& send : sends) n += send.id[0] == first;
+    return n;
+}
+
+}  // namespace
+
+TEST(Fleet, WithoutReportsAFrontKeepsToItsPartOfAllEngines) {
+    Rig rig(one_of(170));
+    rig.list(fleet(30));  // 240 cores: C comes to 2.8 threads a front
+    for (int i = 0; i < 20; ++i) rig.demand("l" + std::to_string(i), "long");
+    for (int i = 0; i < 20; ++i) rig.demand("s" + std::to_string(i), "short");
+    EXPECT_EQ(count_of(rig.sends, 'l'), 1);  // one of each side may always be out
+    EXPECT_EQ(count_of(rig.sends, 's'), 1);
+}
+
+TEST(Fleet, ReportsOfRoomLetMorePass) {
+    Rig rig(one_of(170));
+    rig.list(fleet(30));
+    for (int i = 0; i < 10; ++i) hear(rig, "h" + std::to_string(i), 2);
+    for (int i = 0; i < 10; ++i) rig.demand("l" + std::to_string(i), "long");
+    EXPECT_EQ(count_of(rig.sends, 'l'), 10);
+}
+
+TEST(Fleet, BestEffortWaitsWhileReportsTellOfACrowdAndSensitiveGoesOn) {
+    Rig rig(one_of(170));
+    rig.list(fleet(30));
+    for (int i = 0; i < 25; ++i) hear(rig, "h" + std::to_string(i), 19);
+    rig.demand("l", "long");
+    EXPECT_EQ(count_of(rig.sends, 'l'), 0);
+    rig.demand("s", "short");
+    EXPECT_EQ(count_of(rig.sends, 's'), 1);
+    rig.run_until(4'000'000, false);  // no report is young any more: one goes out and hears
+    EXPECT_EQ(count_of(rig.sends, 'l'), 1);
+}
+
+TEST(Fleet, AStuckAttemptDoesNotKeepThePart) {
+    Settings s = one_of(170);
+    s.may_cancel = false;
+    Rig rig(s);
+    rig.list(fleet(30));
+    rig.demand("s0", "short");
+    for (const char* id : {"s1", "s2", "s3", "s4"}) rig.demand(id, "short");
+    const auto before = rig.sends.size();
+    rig.run_until(3'000'000, false);
+    EXPECT_GT(rig.sends.size(), before);
+    EXPECT_EQ(rig.cancels.size(), 0u);
+}
+
+TEST(Fleet, AReportOfAJamHoldsAsLongAsWhatItCounts) {
+    for (const double held : {60.0, 2.0}) {
+        Rig rig(one_of(2));
+        rig.list({engine(1)});
+        for (int i = 0; i < 30; ++i) hear(rig, "w" + std::to_string(i), 2);  // and what a query costs
+        rig.demand("l", "long");
+        rig.outcome("l", 0, 1, Outcome::done, true, 1'000'000);
+        hear(rig, "h", held);
+        rig.run_until(3'200'000, false);
+        const auto before = rig.sends.size();
+        rig.demand("a", "long");
+        EXPECT_EQ(rig.sends.size() - before, held > 50 ? 0u : 1u);
+    }
+}
+
+TEST(Fleet, ColdEngineStaysInBudgetOverAllFrontsAndIsUsed) {
+    constexpr int kFronts = 150;
+    const Settings s = one_of(kFronts);
+    const double budget = s.overload_factor * s.cold_share * 0.85 * 8 * 2;  // core-seconds a window
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        std::vector<double> window(8, 0);
+        double all = 0;
+        for (int me = 0; me < kFronts; ++me) {
+            Rig rig(s, seed * 1000 + static_cast<std::uint64_t>(me));
+            EngineEntry cold = engine(1);
+            cold.came_up = 1;
+            rig.at(1);
+            rig.list({cold});
+            const auto take = [&] {
+                for (const Send& send : std::exchange(rig.sends, {})) {
+                    window[static_cast<std::size_t>(rig.now / 2'000'000)] += 0.1, all += 0.1;
+                    rig.outcome(send.id, 0, 1, Outcome::done, true);
+                }
+                rig.sends.clear();
+            };
+            for (int step = 0; step < 7; ++step) {  // far more is asked for than the engine may get
+                for (int i = 0; i < 3; ++i) rig.demand("s" + std::to_string(step * 3 + i), "short");
+                take();
+                rig.run_until(2'000'000 * (step + 1) - 900'000, false);
+                take();
+            }
+        }
+        for (const double sent : window) EXPECT_LT(sent, budget);
+        EXPECT_GT(all, budget);  // over seven windows
+    }
+}
+
+TEST(Fleet, ALongQueryDoesNotGoToAColdEngineByLot) {
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        Rig rig(one_of(150), seed);
+        EngineEntry cold = engine(1);
+        cold.came_up = 1;
+        rig.at(1);
+        rig.list({cold});
+        rig.demand("l", "long");
+        rig.run_until(8'000'000, false);
+        EXPECT_EQ(rig.sends.size(), 0u);
+    }
+}
+
+TEST(Fleet, ProbesStayWithinAShareOfTheRequests) {
+    Settings s = one_of(170);
+    s.may_probe = true;
+    s.reports = ReportSource::probe;
+    Rig rig(s);
+    rig.list(fleet(30));
+    for (int i = 0; i < 50; ++i) {
+        rig.demand("s" + std::to_string(i), "short");
+        rig.run_until(300'000 * (i + 1), false);
+    }
+    int probes = 0;
+    std::set<EngineId> asked;
+    for (const Action& action : rig.others)
+        if (const auto* p = std::get_if<Probe>(&action)) ++probes, asked.insert(p->engine);
+    EXPECT_LE(probes, 21);
+    EXPECT_GE(probes, 15);
+    EXPECT_GE(asked.size(), 15u);  // the one not asked for longest goes first
+}
+
+TEST(Fleet, OddListsAndSizesGiveEveryRequestItsAnswer) {
+    for (const int fronts : {1, 270})
+        for (const EngineId engines : {0u, 1u, 40u}) {
+            Settings s = one_of(fronts);
+            s.kinds = {{"std", 0, 0}};  // nothing told of cores or memory
+            Rig rig(s);
+            rig.list(fleet(engines));
+            for (int i = 0; i < 8; ++i) rig.demand("s" + std::to_string(i), "short");
+            for (int i = 0; i < 8; ++i) rig.demand("l" + std::to_string(i), "long");
+            rig.list({});  // the list shrinks while work is out
+            for (const Send& send : std::exchange(rig.sends, {}))
+                rig.outcome(send.id, 0, send.engine, Outcome::econnreset);
+            rig.run_until(25'000'000, false);
+            EXPECT_EQ(rig.refusals.size() + rig.failures.size(), 16u);
+        }
+}
