--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -511,7 +511,8 @@
     bool has_room(const Engine& e, const Request& r) const {
         // Jammed: work that no front counts any more runs on there, left by time-outs or by a dead front.
         if (now < e.full_until || reported(e) * usual.threads > kJam * e.cores) return false;
-        const double taken_mb = e.granted + kReckoned * others(e) * usual.memory;
+        const bool told = now - heard <= kReportLife;  // else a guess, which must bar nothing
+        const double taken_mb = e.granted + (told ? kReckoned * others(e) * usual.memory : 0);
         if (e.memory > 0 && taken_mb > 0 && taken_mb + r.memory > kMemoryFill * e.memory) return false;
         const double width = s.classes[r.cls].threads, threads = e.threads + width;
         if (!under_pressure(e) && threads + others(e) * usual.threads <= kKnee * e.cores) return true;
@@ -538,8 +539,7 @@
                 work += left / a.threads * e.cores;  // it would stand still until that load ends
         }
         work += others(e) * usual.work;
-        const double up = static_cast<double>(now - e.entry.came_up);
-        const double warm = is_cold(e) ? up / static_cast<double>(s.warm_up) : 1;
+        const double warm = is_cold(e) ? double(now - e.entry.came_up) / double(s.warm_up) : 1;
         const double capacity = e.cores * (s.cold_share + (1 - s.cold_share) * warm);
         const double slow = std::max(1.0, e.slow / usual_slow());
         const bool crosses = s.cross_zone_price > 0 && e.entry.zone != s.zone;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -94,6 +94,15 @@
     }
 }
 
+TEST(Fleet, MemoryReckonedForOthersBarsNothingWhereNoReportTells) {
+    Settings s = one_of(4);
+    s.kinds = {{"std", 8, 100}};  // four queries fill an engine
+    Rig rig(s);
+    rig.list(fleet(2));
+    rig.demand("l", "long");
+    EXPECT_EQ(rig.sends.size(), 1u);
+}
+
 TEST(Fleet, ColdEngineStaysInBudgetOverAllFrontsAndIsUsed) {
     constexpr int kFronts = 150;
     const Settings s = one_of(kFronts);
