--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,7 +35,7 @@
 constexpr double kCvLow = 0.03, kCvHigh = 20;    // beyond these the shape is flat or a spike for any use
 constexpr double kSensitiveRun = 1.0 * kSecond;  // usual run time of a sensitive class is under this
 constexpr double kSwitch = 0.1;                  // a class changes side only past the limit by this share
-constexpr double kSeedCount = 100;        // alpha is the sensitive share of so many first requests
+constexpr double kSeedCount = 100;               // alpha is the sensitive share of so many first requests
 constexpr double kThreadsPerCore = 2, kLeastCap = 2;  // C; three a core, the start value, passed the knee
 constexpr double kKnee = 1.5;  // threads a core, of all fronts, past which an engine is under pressure
 
@@ -56,9 +56,9 @@
 
 // Health.
 constexpr double kProbeShare = 0.4;  // probes for each request taken, at most
-constexpr double kOverdue = 1.5;        // expected runs after which an attempt counts as stuck
+constexpr double kOverdue = 1.5;     // of an expected run and a second: then an attempt counts as stuck
 constexpr double kCrowdStep = 0.1;   // the fleet's crowd: about the last ten reports
-constexpr double kSmooth = 0.1;  // EWMA step of ratios: about the last ten
+constexpr double kSmooth = 0.1;      // EWMA step of ratios: about the last ten
 constexpr double kErrorStep = 0.15, kErrorTrial = 0.1, kErrorShun = 0.25;  // two errors in a row shun
 constexpr Micros kShunFirst = 500 * kMs, kShunMost = 4 * kSecond;
 constexpr double kSilentNotes = 2.5;  // note periods without any sign of life: silent
@@ -67,7 +67,7 @@
 
 // Rules.
 constexpr double kColdMargin = 0.6;         // of this front's part of a cold engine's budget: speeds vary
-constexpr double kLotMost = 0.1;  // of a cold engine's budget, for one query by lot
+constexpr double kLotMost = 0.1;            // of a cold engine's budget, for one query by lot: evens out
 constexpr double kCapacityBusy = 0.85;      // capacity is counted at this share of the cores
 constexpr Micros kAnswerMargin = 15 * kMs;  // final answers go out this long before the client gives up
 constexpr Micros kTick = 25 * kMs, kFitEvery = 500 * kMs, kAlphaEvery = kSecond, kProbeEvery = kSecond;
@@ -517,8 +517,8 @@
         const double width = s.classes[r.cls].threads, threads = e.threads + width;
         if (!under_pressure(e) && threads + others(e) * usual.threads <= kKnee * e.cores) return true;
         // Where fronts outnumber threads, C for each engine is under one query: it binds over the fleet too.
-        // Sensitive queries pass while reports tell of room, best-effort ones wait while they tell of none;
-        // one of each side may else be out.
+        // Sensitive queries pass while reports tell of room, best-effort ones wait while they tell of none.
+        // Guards against jams by many small parts. Harm: large fronts starve among idle ones.
         const double part = kThreadsPerCore / s.siblings;
         const bool quick = classes[r.cls].sensitive, passes = quick && crowded() < kKnee;
         if (!quick && crowded() > kThreadsPerCore) return false;
