Tidied, the same decisions: one test for a young report, one measure of slowness, a usual query of its own

In the module: whether a report is young was asked in two places; how slow an attempt is was clamped in two; what other fronts hold and the cold budget were reckoned twice for one request; the usual query borrowed the state of a class, with fields that meant nothing there; an answer's end repeated checks that settle() makes.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -43,7 +43,7 @@
 constexpr double kSlowPressure = 2;  // latency over best at which an engine is under pressure
 constexpr double kBusyShare = 0.9;   // reported share of cores, disks or memory that counts as busy
 constexpr Micros kFullRest = kSecond;  // rest of a full engine: about a long query's run
-constexpr Micros kReportLife = 3 * kSecond;                        // an older load report says nothing
+constexpr Micros kReportLife = 3 * kSecond;                        // a load report is young for so long
 constexpr double kMemoryFill = 0.95, kReckoned = 0.75;  // share that is full; sure part of what others hold
 constexpr double kGrant = 1.25, kGrantFree = 3;  // grant over the estimate; the latter where it is free
 constexpr double kLearn = 0.03;                  // step of what a class costs: about the last thirty answers
@@ -129,6 +129,7 @@
     double work = 0, threads = 0, memory = 0;  // as expected when sent
     double progress = 0;
     double expected() const { return std::max(work / threads, 1.0 * kMs); }
+    double slowness(double lasts) const { return std::clamp(lasts / expected(), 0.2, 20.0); }
     bool open = true, sensitive = false, counted = true;  // counted in this front's part
 };
 
@@ -174,7 +175,7 @@
 
 struct ClassState {
     double cost_ratio = 1, memory_ratio = 1;            // true over estimate
-    double work = 0, raw = 0, memory = 0, threads = 1;  // usual work, estimate of it, memory
+    double work = 0, raw = 0;                           // usual work and estimate of it
     bool sensitive = false;
 };
 
@@ -233,7 +234,9 @@
     bool subscribed = false;
     Micros asked = 0, fitted = 0, moved = 0, heard = -kNever;
 
-    ClassState usual;  // of one query that runs, whatever its class
+    struct {
+        double run = 0, work = 0, memory = 0, threads = 1;
+    } usual;  // of one query that runs, whatever its class
     // Of the fleet, for engines not heard of lately: threads a core, and latency over expected run time.
     double crowd = 0, pace = 1, fleet_cores = 0;
     double out_threads = 0, probe_credit = 1, shortest_aim = kNever;
@@ -305,11 +308,11 @@
             if (c.key_scope == Scope::cell && first.cell != e.entry.cell) return false;
         }
         if (is_cold(e)) {
-            const double work = classes[r.cls].work, part = cold_budget(e) / s.siblings;
+            const double work = classes[r.cls].work, budget = cold_budget(e), part = budget / s.siblings;
             double sum = work;
             for (const auto& [at, sent] : e.cold) sum += sent;
             // A part smaller than a query is drawn for: so many fronts may send one that all parts are used.
-            const bool drawn = e.cold.empty() && work <= kLotMost * cold_budget(e) && e.lot * work <= part;
+            const bool drawn = e.cold.empty() && work <= kLotMost * budget && e.lot * work <= part;
             if (sum > part && !drawn) return false;
         }
         return may_try_again(r);
@@ -331,7 +334,7 @@
         const double margin = s.when_short == WhenShort::swap ? kGrantFree : kGrant;
         const double grant = s.grants && most > 0 ? std::min(r.memory * margin, most) : 0;
         const int priority = priority_of(r);
-        if ((s.grants && grant > 0) || (s.priorities && priority != r.priority)) {
+        if (grant > 0 || (s.priorities && priority != r.priority)) {
             actions.push_back(Terms{r.id, grant, priority});
             r.priority = priority;
         }
@@ -398,7 +401,7 @@
         const double latency = static_cast<double>(now - r.arrival);
         const double u = now <= r.aim ? 0 : now <= r.deadline ? kHalf : 1;
         t.window.push_back({now, latency, static_cast<double>(time), u});
-        const double slow = std::clamp(static_cast<double>(time) / a.expected(), 0.2, 20.0);
+        const double slow = a.slowness(static_cast<double>(time));
         approach(engines[a.engine].slow, slow), approach(pace, slow);
     }
 
@@ -494,7 +497,7 @@
                p.memory_granted.value_or(0) > kBusyShare || p.depth.value_or(0) >= 1;
     }
 
-    // Queries there in all, from a load report that is young enough, and those of other fronts.
+    // Queries there in all, as its last report and the fleet tell, and those of other fronts.
     double reported(const Engine& e) const {
         const double told = e.report.concurrent.value_or(0);
         const double usual_there = crowded() * e.cores / usual.threads;
@@ -503,7 +506,8 @@
         return told + (usual_there - told) * std::min(1.0, static_cast<double>(now - e.reported) / life);
     }
     // With no young report the fleet is taken to be at the knee: each front keeps to its part of C.
-    double crowded() const { return now - heard <= kReportLife ? crowd : kKnee; }
+    bool heard_lately() const { return now - heard <= kReportLife; }
+    double crowded() const { return heard_lately() ? crowd : kKnee; }
     double others(const Engine& e) const {
         return s.siblings < 2 ? 0 : std::max(0.0, reported(e) - e.out_at_report);
     }
@@ -511,11 +515,11 @@
     bool has_room(const Engine& e, const Request& r) const {
         // Jammed: work that no front counts any more runs on there, left by time-outs or by a dead front.
         if (now < e.full_until || reported(e) * usual.threads > kJam * e.cores) return false;
-        const bool told = now - heard <= kReportLife;  // else a guess, which must bar nothing
-        const double taken_mb = e.granted + (told ? kReckoned * others(e) * usual.memory : 0);
+        const double elsewhere = others(e);  // a guess if nothing was heard, which must not fill memory
+        const double taken_mb = e.granted + (heard_lately() ? kReckoned * elsewhere * usual.memory : 0);
         if (e.memory > 0 && taken_mb > 0 && taken_mb + r.memory > kMemoryFill * e.memory) return false;
         const double width = s.classes[r.cls].threads, threads = e.threads + width;
-        if (!under_pressure(e) && threads + others(e) * usual.threads <= kKnee * e.cores) return true;
+        if (!under_pressure(e) && threads + elsewhere * usual.threads <= kKnee * e.cores) return true;
         // Where fronts outnumber threads, C for each engine is under one query: it binds over the fleet too.
         // Sensitive queries pass while reports tell of room, best-effort ones wait while they tell of none.
         // Guards against jams by many small parts. Harm: large fronts starve among idle ones.
@@ -812,8 +816,8 @@
             q.tokens -= !r.over_share;
         }
         // What an engine holds at a moment is mostly long queries: weighted by run time.
-        approach(usual.raw, run_time(r), kLearn);
-        const double step = std::min(1.0, kLearn * run_time(r) / std::max(usual.raw, 1.0));
+        approach(usual.run, run_time(r), kLearn);
+        const double step = std::min(1.0, kLearn * run_time(r) / std::max(usual.run, 1.0));
         approach(usual.work, r.cost, step), approach(usual.memory, r.memory, step);
         approach(usual.threads, c.threads, step);
         ++first_all, first_sensitive += k.sensitive;
@@ -851,13 +855,9 @@
             observe_latency(r, a, c.taken);
         }
         if (r.in_line && (lingers || c.outcome == Outcome::econnreset)) rests[r.key] = now + s.turn_gap;
-        if (c.finished) {
-            unqueue(slot);
-            r.finished = true;
-        } else if (!r.finished) {
-            if (c.outcome == Outcome::busy) r.not_before = now + kTick;
-            if (!r.attempt_out()) settle(slot);
-        }
+        if (c.finished) unqueue(slot), r.finished = true;
+        if (c.outcome == Outcome::busy) r.not_before = now + kTick;
+        settle(slot);
         free_if_over(slot);
     }
 
@@ -870,7 +870,7 @@
         if (n.topic != NoteTopic::progress || !a.open) return;
         a.progress = std::clamp(n.value, 0.0, 1.0);
         const double lasts = static_cast<double>(now - a.sent) / std::max(a.progress, 0.01);
-        approach(engines[a.engine].slow, std::clamp(lasts / a.expected(), 0.2, 20.0));
+        approach(engines[a.engine].slow, a.slowness(lasts));
         // Guards against an attempt that gets on far slower than a fresh one would: a bad plan, or an engine
         // that is slow alone. It is called off and sent again. When all engines are slow, so is the measure.
         // Harm: work done is lost, so where costs are far over their estimates this repeats it, once a try.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -29,10 +29,14 @@
     c.report->concurrent = concurrent;
     rig.feed(c);
 }
-int count_of(const std::vector<Send>& sends, char first) {
-    int n = 0;
-    for (const Send& send : sends) n += send.id[0] == first;
-    return n;
+// A front of so many that knows one engine, just started.
+Rig beside_cold(const Settings& s, std::uint64_t seed) {
+    Rig rig(s, seed);
+    EngineEntry cold = engine(1);
+    cold.came_up = 1;
+    rig.at(1);
+    rig.list({cold});
+    return rig;
 }
 
 }  // namespace
@@ -40,30 +44,30 @@
 TEST(Fleet, WithoutReportsAFrontKeepsToItsPartOfAllEngines) {
     Rig rig(one_of(170));
     rig.list(fleet(30));  // 240 cores: C comes to 2.8 threads a front
-    for (int i = 0; i < 20; ++i) rig.demand("l" + std::to_string(i), "long");
-    for (int i = 0; i < 20; ++i) rig.demand("s" + std::to_string(i), "short");
-    EXPECT_EQ(count_of(rig.sends, 'l'), 1);  // one of each side may always be out
-    EXPECT_EQ(count_of(rig.sends, 's'), 1);
+    rig.demands(20, "l", "long");
+    rig.demands(20, "s", "short");
+    EXPECT_EQ(rig.sends_of('l'), 1);  // one of each side may always be out
+    EXPECT_EQ(rig.sends_of('s'), 1);
 }
 
 TEST(Fleet, ReportsOfRoomLetMorePass) {
     Rig rig(one_of(170));
     rig.list(fleet(30));
-    for (int i = 0; i < 10; ++i) hear(rig, "h" + std::to_string(i), 2);
-    for (int i = 0; i < 10; ++i) rig.demand("l" + std::to_string(i), "long");
-    EXPECT_EQ(count_of(rig.sends, 'l'), 10);
+    for (int i = 0; i < 10; ++i) hear(rig, nth("h", i), 2);
+    rig.demands(10, "l", "long");
+    EXPECT_EQ(rig.sends_of('l'), 10);
 }
 
 TEST(Fleet, BestEffortWaitsWhileReportsTellOfACrowdAndSensitiveGoesOn) {
     Rig rig(one_of(170));
     rig.list(fleet(30));
-    for (int i = 0; i < 25; ++i) hear(rig, "h" + std::to_string(i), 19);
+    for (int i = 0; i < 25; ++i) hear(rig, nth("h", i), 19);
     rig.demand("l", "long");
-    EXPECT_EQ(count_of(rig.sends, 'l'), 0);
+    EXPECT_EQ(rig.sends_of('l'), 0);
     rig.demand("s", "short");
-    EXPECT_EQ(count_of(rig.sends, 's'), 1);
+    EXPECT_EQ(rig.sends_of('s'), 1);
     rig.run_until(4'000'000, false);  // no report is young any more: one goes out and hears
-    EXPECT_EQ(count_of(rig.sends, 'l'), 1);
+    EXPECT_EQ(rig.sends_of('l'), 1);
 }
 
 TEST(Fleet, AStuckAttemptDoesNotKeepThePart) {
@@ -83,7 +87,7 @@
     for (const double held : {60.0, 2.0}) {
         Rig rig(one_of(2));
         rig.list({engine(1)});
-        for (int i = 0; i < 30; ++i) hear(rig, "w" + std::to_string(i), 2);  // and what a query costs
+        for (int i = 0; i < 30; ++i) hear(rig, nth("w", i), 2);  // and what a query costs
         rig.demand("l", "long");
         rig.outcome("l", 0, 1, Outcome::done, true, 1'000'000);
         hear(rig, "h", held);
@@ -111,20 +115,16 @@
         std::vector<double> window(8, 0);
         double all = 0;
         for (int me = 0; me < kFronts; ++me) {
-            Rig rig(s, seed * 1000 + static_cast<std::uint64_t>(me));
-            EngineEntry cold = engine(1);
-            cold.came_up = 1;
-            rig.at(1);
-            rig.list({cold});
+            Rig rig = beside_cold(s, seed * 1000 + static_cast<std::uint64_t>(me));
             const auto take = [&] {
-                for (const Send& send : std::exchange(rig.sends, {})) {
-                    window[static_cast<std::size_t>(rig.now / 2'000'000)] += 0.1, all += 0.1;
-                    rig.outcome(send.id, 0, 1, Outcome::done, true);
-                }
-                rig.sends.clear();
+                while (!rig.sends.empty())  // an answer may free the next
+                    for (const Send& send : std::exchange(rig.sends, {})) {
+                        window[static_cast<std::size_t>(rig.now / 2'000'000)] += 0.1, all += 0.1;
+                        rig.outcome(send.id, 0, 1, Outcome::done, true);
+                    }
             };
             for (int step = 0; step < 7; ++step) {  // far more is asked for than the engine may get
-                for (int i = 0; i < 3; ++i) rig.demand("s" + std::to_string(step * 3 + i), "short");
+                for (int i = 0; i < 3; ++i) rig.demand(nth("s", step * 3 + i), "short");
                 take();
                 rig.run_until(2'000'000 * (step + 1) - 900'000, false);
                 take();
@@ -137,11 +137,7 @@
 
 TEST(Fleet, ALongQueryDoesNotGoToAColdEngineByLot) {
     for (std::uint64_t seed = 1; seed <= 100; ++seed) {
-        Rig rig(one_of(150), seed);
-        EngineEntry cold = engine(1);
-        cold.came_up = 1;
-        rig.at(1);
-        rig.list({cold});
+        Rig rig = beside_cold(one_of(150), seed);
         rig.demand("l", "long");
         rig.run_until(8'000'000, false);
         EXPECT_EQ(rig.sends.size(), 0u);
@@ -155,7 +151,7 @@
     Rig rig(s);
     rig.list(fleet(30));
     for (int i = 0; i < 50; ++i) {
-        rig.demand("s" + std::to_string(i), "short");
+        rig.demand(nth("s", i), "short");
         rig.run_until(300'000 * (i + 1), false);
     }
     int probes = 0;
@@ -174,8 +170,8 @@
             s.kinds = {{"std", 0, 0}};  // nothing told of cores or memory
             Rig rig(s);
             rig.list(fleet(engines));
-            for (int i = 0; i < 8; ++i) rig.demand("s" + std::to_string(i), "short");
-            for (int i = 0; i < 8; ++i) rig.demand("l" + std::to_string(i), "long");
+            rig.demands(8, "s", "short");
+            rig.demands(8, "l", "long");
             rig.list({});  // the list shrinks while work is out
             for (const Send& send : std::exchange(rig.sends, {}))
                 rig.outcome(send.id, 0, send.engine, Outcome::econnreset);
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -10,8 +10,6 @@
 using namespace gatetiller::testing;
 
 namespace {
-std::string nth(const char* name, int i) { return name + std::to_string(i); }
-
 // How many sends went to each engine since `from`.
 std::map<EngineId, int> tally(const Rig& rig, std::size_t from) {
     std::map<EngineId, int> count;
@@ -23,7 +21,7 @@
 TEST(Design, WithoutPressureNothingIsHeld) {
     Rig rig(plain());
     rig.list({engine(1), engine(2)});
-    for (int i = 0; i < 10; ++i) rig.demand(nth("a", i), "short");
+    rig.demands(10, "a", "short");
     EXPECT_EQ(rig.sends.size(), 10u);
     EXPECT_EQ(tally(rig, 0).size(), 2u);
 }
@@ -31,7 +29,7 @@
 TEST(Design, UnderPressureTheCapHoldsAndAFreedSlotGoesToTheEarliestDue) {
     Rig rig(plain());
     rig.list({engine(1)});
-    for (int i = 0; i < 60; ++i) rig.demand(nth("a", i), "short");
+    rig.demands(60, "a", "short");
     const auto held_from = rig.sends.size();
     EXPECT_LE(held_from, 16u);  // two threads a core
     ASSERT_LT(held_from, 60u);
@@ -43,7 +41,7 @@
 TEST(Design, AnIdleSideLendsItsSlots) {
     Rig rig(plain());
     rig.list({engine(1)});
-    for (int i = 0; i < 20; ++i) rig.demand(nth("b", i), "long");  // best effort alone
+    rig.demands(20, "b", "long");  // best effort alone
     EXPECT_GE(rig.sends.size(), 6u);
 }
 
@@ -52,13 +50,12 @@
     s.tenants = {{"one", 1000, 0.5}, {"two", 1000, 0.5}};
     Rig rig(s);
     rig.list({engine(1)});
-    for (int i = 0; i < 30; ++i) rig.demand(nth("b", i), "long", "", "one");
-    for (int i = 0; i < 30; ++i) rig.demand(nth("c", i), "long", "", "two");
+    rig.demands(30, "b", "long", "one");
+    rig.demands(30, "c", "long", "two");
     const auto first = rig.sends.size();
     for (std::size_t i = 0; i < 10; ++i) rig.outcome(rig.sends[i].id, 0, 1, Outcome::done, true, 1'000'000);
-    int two = 0;
-    for (std::size_t i = first; i < rig.sends.size(); ++i) two += rig.sends[i].id[0] == 'c';
-    EXPECT_GE(two, 5);  // the tenant that came second is not behind the whole line of the first
+    EXPECT_GE(rig.sends_of('c', first),
+              5);  // the tenant that came second is not behind the whole line of the first
 }
 
 TEST(Shares, WhatIsOverTheShareGivesWay) {
@@ -66,7 +63,7 @@
     s.tenants = {{"small", 5, 0.5}, {"large", 1000, 0.5}};
     Rig rig(s);
     rig.list({engine(1)});
-    for (int i = 0; i < 40; ++i) rig.demand(nth("o", i), "short", "", "small");
+    rig.demands(40, "o", "short", "small");
     const auto first = rig.sends.size();
     rig.demand("in", "short", "", "large");
     rig.outcome(rig.sends[0].id, 0, 1, Outcome::done, true);
@@ -115,7 +112,7 @@
     rig.outcome("a", 0, silent, Outcome::ecanceled);
     ASSERT_EQ(rig.sends.size(), 2u);
     EXPECT_NE(rig.sends[1].engine, silent);
-    for (int i = 0; i < 10; ++i) rig.demand(nth("b", i), "short");
+    rig.demands(10, "b", "short");
     EXPECT_EQ(tally(rig, 1)[silent], 0);
 }
 
@@ -224,9 +221,9 @@
 TEST(Overload, WhatCostsMostForItsWorthWaitsBehind) {
     Rig rig(plain());
     rig.list({engine(1)});
-    for (int i = 0; i < 40; ++i) rig.demand(nth("long", i), "long");  // same worth, twenty times the work
+    rig.demands(40, "long", "long");  // same worth, twenty times the work
     rig.run_until(100'000);
-    for (int i = 0; i < 4; ++i) rig.demand(nth("short", i), "short");
+    rig.demands(4, "short", "short");
     const auto before = rig.sends.size();
     for (std::size_t i = 0; i < 4; ++i) rig.outcome(rig.sends[i].id, 0, 1, Outcome::done, true, 1'000'000);
     int quick = 0;
@@ -239,7 +236,7 @@
     s.classes[0].aim = 300'000;
     Rig rig(s);
     rig.list({engine(1)});
-    for (int i = 0; i < 20; ++i) rig.demand(nth("old", i), "short");
+    rig.demands(20, "old", "short");
     rig.run_until(1'000'000);  // what is held of these is past its aim
     const auto before = rig.sends.size();
     ASSERT_LT(before, 20u);
@@ -256,7 +253,7 @@
     const EngineId full = rig.sends[0].engine;
     rig.outcome("a", 0, full, Outcome::busy, false, 1'000);
     rig.run_until(100'000);
-    for (int i = 0; i < 10; ++i) rig.demand(nth("b", i), "short");
+    rig.demands(10, "b", "short");
     EXPECT_EQ(tally(rig, 1)[full], 0);
 }
 
@@ -278,7 +275,7 @@
         s.siblings = siblings;
         Rig rig(s);
         rig.list({engine(1)});
-        for (int i = 0; i < 40; ++i) rig.demand(nth("a", i), "short");
+        rig.demands(40, "a", "short");
         EXPECT_LE(rig.sends.size(), 16u / siblings);  // two threads a core, split evenly
         EXPECT_GE(rig.sends.size(), 12u / siblings);  // and not far under the knee
     }
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -1,6 +1,7 @@
 // One front fed by hand: keeps what it sent, answers nothing by itself, and rings its timers.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -37,6 +38,8 @@
     return s;
 }
 
+inline std::string nth(const std::string& name, int i) { return name + std::to_string(i); }
+
 inline EngineEntry engine(EngineId id, std::int64_t cell = 0) {
     EngineEntry e;
     e.id = id, e.zone = "z1", e.kind = "std", e.cell = cell;
@@ -59,6 +62,10 @@
         d.memory_mb = 20;
         feed(d);
     }
+    void demands(int count, const std::string& name, const std::string& type,
+                 const std::string& tenant = "") {
+        for (int i = 0; i < count; ++i) demand(nth(name, i), type, "", tenant);
+    }
     void outcome(const std::string& id, int attempt, EngineId engine, Outcome outcome, bool finished = false,
                  Micros taken = 100'000) {
         Completed c;
@@ -81,6 +88,11 @@
     int refused(const std::string& id) const { return count(refusals, id); }
     int failed(const std::string& id) const { return count(failures, id); }
     Micros ended_at(const std::string& id) const { return ends.at(id); }
+    int sends_of(char initial, std::size_t from = 0) const {
+        const auto named = [&](const Send& send) { return send.id[0] == initial; };
+        return static_cast<int>(
+            std::count_if(sends.begin() + static_cast<std::ptrdiff_t>(from), sends.end(), named));
+    }
     std::vector<std::string> sent_ids() const {
         std::vector<std::string> ids;
         for (const Send& send : sends) ids.push_back(send.id);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -135,7 +135,7 @@
     Rig rig(plain());
     rig.list({engine(1), engine(2)});
     rig.list({engine(2)});
-    for (int i = 0; i < 20; ++i) rig.demand("a" + std::to_string(i), "short");
+    rig.demands(20, "a", "short");
     for (const Send& send : rig.sends) EXPECT_EQ(send.engine, 2u);
 }
 
@@ -181,7 +181,7 @@
     double press(const std::string& name) {
         const auto before = sends.size();
         for (int i = 0; i < 400; ++i) {
-            demand(name + std::to_string(i), "short");
+            demand(nth(name, i), "short");
             if (!sends.empty() && answered < sends.size())
                 outcome(sends[answered].id, 0, 1, Outcome::done, true), ++answered;
         }
@@ -251,8 +251,8 @@
     far.zone = "z2";
     rig.list({engine(1), big, far});
     for (int i = 0; i < 10; ++i) {
-        rig.demand("s" + std::to_string(i), "short");
-        rig.demand("l" + std::to_string(i), "long");
+        rig.demand(nth("s", i), "short");
+        rig.demand(nth("l", i), "long");
     }
     const auto first = rig.sends.size();
     for (std::size_t i = 0; i < first; ++i)
@@ -278,7 +278,7 @@
     s.ratio_span = 5'000'000;
     Rig rig(s);
     rig.list({engine(1), engine(2)});
-    for (int i = 0; i < 10; ++i) rig.demand("a" + std::to_string(i), "short");
+    rig.demands(10, "a", "short");
     ASSERT_EQ(rig.sends.size(), 10u);
     for (int i = 0; i < 10; ++i) rig.outcome(rig.sends[i].id, 0, rig.sends[i].engine, Outcome::err);
     rig.run_until(700'000, false);
