--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -47,9 +47,12 @@
 constexpr double kMemoryFill = 0.95, kReckoned = 0.75;  // share that is full; sure part of what others hold
 constexpr double kGrant = 1.25, kGrantFree = 3;  // grant over the estimate; the latter where it is free
 constexpr double kLearn = 0.03;                  // step of what a class costs: about the last thirty answers
-constexpr double kSeedAnswers = 3;               // a first guess of usual work weighs as many answers
+constexpr double kSeedAnswers = 3;  // with fewer, usual work without estimates stays at its seed
 constexpr double kQuiet = 0.3;                   // latencies in the lower 30% hold little contention
 constexpr double kOtherZone = 1.5;               // weight of an engine in another zone, where crossing costs
+constexpr double kCalm = 1.3, kStrained = 1.7;  // run time over a calm one: the part grows, shrinks
+constexpr double kLateLeast = 0.1, kLateMost = 0.3;   // share of late attempts, likewise
+constexpr double kReachDown = 0.7, kCalmCreep = 1.002;  // a second
 constexpr double kJam = 2.5;  // reported threads a core, a quarter past C for all fronts: nothing more goes
 constexpr std::size_t kScan = 8;  // held requests looked at per side when the first can't go
 
@@ -128,10 +131,12 @@
     int engine = -1;
     Micros sent = 0;
     double work = 0, threads = 0, memory = 0;  // as expected when sent
+    double grant = 0;                          // memory asked for; 0: left to the engine
+    bool sensitive = false;
     double progress = 0;
     double expected() const { return std::max(work / threads, 1.0 * kMs); }
     double slowness(double lasts) const { return std::clamp(lasts / expected(), 0.2, 20.0); }
-    bool open = true, sensitive = false, counted = true;  // counted in this front's part
+    bool open = true, spilled = false, counted = true;  // counted in this front's part
 };
 
 struct Request {
@@ -178,7 +183,8 @@
 struct ClassState {
     double cost_ratio = 1, memory_ratio = 1;            // true over estimate
     double work = 0, raw = 0;                           // usual work and estimate of it
-    double answers = kSeedAnswers;                      // that a work without estimates rests on
+    // Run time over what was to be expected of it, usually and when calm; and how many answers these rest on.
+    double ratio = 1, calm = 0, heard = 0;
     bool sensitive = false;
 };
 
@@ -242,6 +248,9 @@
     } usual;  // of one query that runs, whatever its class
     // Of the fleet, for engines not heard of lately: threads a core, and latency over expected run time.
     double crowd = 0, pace = 1, fleet_cores = 0;
+    // This front's part of C where nothing reports: in even parts, and the strain of engines that moves it.
+    double reach = 1, strain = 1, late = 0;  // late: share of attempts that missed their aim by themselves
+    bool bound = false;  // since the last move a request waited for the part
     double out_threads = 0, probe_credit = 1, shortest_aim = kNever;
     int out_of_side[2] = {0, 0};
 
@@ -345,7 +354,7 @@
         if (!r.attempts.empty()) further.push_back(now);
         if (is_cold(e)) e.cold.emplace_back(now, classes[r.cls].work);
         const double width = s.classes[r.cls].threads;
-        r.attempts.push_back({index, now, r.cost, width, r.memory, 0, true, classes[r.cls].sensitive});
+        r.attempts.push_back({index, now, r.cost, width, r.memory, grant, classes[r.cls].sensitive});
         out_threads += width, ++out_of_side[classes[r.cls].sensitive];
         e.out.emplace_back(slot, static_cast<int>(r.attempts.size()) - 1);
         e.threads += width, e.granted += r.memory;
@@ -382,8 +391,20 @@
 
     // ---- Estimates and streams
 
+    bool learns_need() const { return !s.cost_in_answers && s.when_short != WhenShort::swap; }
+
+    // Where needs aren't told, notes of spilling do: what it had and what it missed. An engine that gave less
+    // than was asked for makes the need look larger: past an even part of its memory for C nothing is learnt.
+    void learn_need(const Request& r, Attempt& a, double missing) {
+        if (std::exchange(a.spilled, true) || !learns_need() || a.grant <= 0 || r.raw_memory <= 0) return;
+        const Engine& e = engines[a.engine];
+        if (a.grant > e.memory * a.threads / (kThreadsPerCore * e.cores)) return;
+        approach(classes[r.cls].memory_ratio, std::min((a.grant + missing) / r.raw_memory, 20.0));
+    }
+
     void learn(Request& r, const Attempt& a, const Completed& c) {
         ClassState& k = classes[r.cls];
+        if (learns_need() && a.grant > 0 && !a.spilled) k.memory_ratio *= 1 - kLearn * kQuiet;
         if (c.work_ms > 0) {
             if (r.raw_cost > 0)
                 approach(k.cost_ratio, std::clamp(c.work_ms * kMs / r.raw_cost, 0.05, 20.0), kLearn);
@@ -396,13 +417,36 @@
             k.cost_ratio *= seen > k.cost_ratio ? 1 + kLearn * kQuiet : 1 - kLearn * (1 - kQuiet);
             k.cost_ratio = std::clamp(k.cost_ratio, 0.05, 20.0);
             k.work = k.raw * k.cost_ratio;
-        } else {
-            // Neither estimates nor costs: a mean of what answers took, single long ones cut short.
-            const double seen = static_cast<double>(c.taken) * a.threads;
-            approach(k.work, std::min(seen, kRunaway * k.work), std::max(kLearn, 1 / ++k.answers));
         }
     }
 
+    // Strain is what run times grow by from engines being full: over told work, or over the calmest usual of
+    // the class, which creeps up so that lasting change is learnt.
+    void observe_strain(const Request& r, const Attempt& a, const Completed& c) {
+        ClassState& k = classes[r.cls];
+        const double told = c.work_ms * kMs, known = told > 0 ? told : r.raw_cost;
+        const double base = known > 0 ? known : static_cast<double>(s.classes[r.cls].aim);
+        double ratio = static_cast<double>(c.taken) * a.threads / base;
+        if (k.heard > 0) ratio = std::min(ratio, kRunaway * k.ratio);
+        approach(k.ratio, ratio, std::max(kLearn, 1 / ++k.heard));
+        if (known <= 0 && k.heard > kSeedAnswers) k.work = k.ratio * base;  // nothing else tells it
+        if (k.heard < kFewSamples && told <= 0) return;
+        k.calm = told > 0 ? 1 : k.calm > 0 ? std::min(k.calm, k.ratio) : k.ratio;
+        approach(strain, ratio / k.calm);
+    }
+
+    // Even parts of C hold back fronts of much traffic while others leave theirs: where nothing reports, a part
+    // grows while it binds and engines are calm, and shrinks once they strain or, where costs aren't told and
+    // strain is relative, once attempts miss their aim by themselves. Guards against uneven fronts, short
+    // patience, and jams that came before any calm. Harm: strain of a few slow engines shrinks it too.
+    void move_reach() {
+        for (ClassState& k : classes) k.calm *= kCalmCreep;
+        if (strain > kStrained || late > kLateMost) reach = std::max(1.0, reach * kReachDown);
+        else if (bound && strain < kCalm && late < kLateLeast)
+            reach = std::min(reach * (1 + kBeta), 1.0 * s.siblings);
+        bound = false;
+    }
+
     void observe_latency(const Request& r, const Attempt& a, Micros time) {
         Stream& t = stream_of(r);
         const double latency = static_cast<double>(now - r.arrival);
@@ -519,7 +563,7 @@
         return s.siblings < 2 ? 0 : std::max(0.0, reported(e) - e.out_at_report);
     }
 
-    bool has_room(const Engine& e, const Request& r) const {
+    bool has_room(const Engine& e, const Request& r) {
         // Jammed: work that no front counts any more runs on there, left by time-outs or by a dead front.
         if (now < e.full_until || reported(e) * usual.threads > kJam * e.cores) return false;
         const double elsewhere = others(e);  // a guess if nothing was heard, which must not fill memory
@@ -530,10 +574,13 @@
         // Where fronts outnumber threads, C for each engine is under one query: it binds over the fleet too.
         // Sensitive queries pass while reports tell of room, best-effort ones wait while they tell of none.
         // Guards against jams by many small parts. Harm: large fronts starve among idle ones.
-        const double part = kThreadsPerCore / s.siblings;
+        const double part = kThreadsPerCore / s.siblings * (s.reports == ReportSource::none ? reach : 1);
         const bool quick = classes[r.cls].sensitive, passes = quick && crowded() < kKnee;
         if (!quick && crowded() > kThreadsPerCore) return false;
-        if (!passes && out_of_side[quick] > 0 && out_threads + width > part * fleet_cores) return false;
+        if (!passes && out_of_side[quick] > 0 && out_threads + width > part * fleet_cores) {
+            bound = true;
+            return false;
+        }
         return e.out.empty() || threads <= std::max(kLeastCap, part * e.cores);
     }
 
@@ -856,9 +903,13 @@
         if (!lingers && c.outcome != Outcome::econnrefused) e.alive = now;
         if (c.report) take_report(e, c.report);
         judge(e, c, a);
+        const bool done = c.outcome == Outcome::done;
+        if (!s.cost_in_answers && (done || (lingers && e.alive >= a.sent)))
+            approach(late, !done || c.taken > r.aim - r.arrival);
         if (!never_ran(c.outcome) && r.bound_to < 0) r.bound_to = a.engine, r.bound_since = a.sent;
         if (c.outcome == Outcome::done) {
             learn(r, a, c);
+            observe_strain(r, a, c);
             observe_latency(r, a, c.taken);
         }
         if (r.in_line && (lingers || c.outcome == Outcome::econnreset)) rests[r.key] = now + s.turn_gap;
@@ -874,6 +925,7 @@
             return;
         Attempt& a = requests[slot].attempts[n.attempt];
         engines[a.engine].alive = now;
+        if (n.topic == NoteTopic::spills && a.open) learn_need(requests[slot], a, n.value);
         if (n.topic != NoteTopic::progress || !a.open) return;
         a.progress = std::clamp(n.value, 0.0, 1.0);
         const double lasts = static_cast<double>(now - a.sent) / std::max(a.progress, 0.01);
@@ -911,7 +963,7 @@
         actions.push_back(SetTimer{kTick, 0});
         sweep(), shed();
         if (now - fitted >= kFitEvery) fitted = now, fit();
-        if (now - moved >= kAlphaEvery) moved = now, move_alpha();
+        if (now - moved >= kAlphaEvery) moved = now, move_alpha(), move_reach();
         if (s.ask_discovery && !subscribed &&
             now - asked >= static_cast<Micros>(kAskShare * static_cast<double>(s.ask_within))) {
             asked = now;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -50,6 +50,30 @@
     EXPECT_EQ(rig.sends_of('s'), 1);
 }
 
+// Long queries asked for ten at a time for ten seconds, each answered after so long; how many are out at most.
+int most_out(Micros taken) {
+    Rig rig(one_of(170));
+    rig.list(fleet(30));
+    int n = 0;
+    std::size_t most = 0;
+    for (int second = 1; second <= 12; ++second) {
+        while (n < second * 10) rig.demand(nth("l", n++), "long");
+        rig.run_until(second * 1'000'000);
+        most = std::max(most, rig.sends.size());
+        for (const Send& send : std::exchange(rig.sends, {}))
+            rig.outcome(send.id, 0, send.engine, Outcome::done, true, taken);
+    }
+    return static_cast<int>(most);
+}
+
+TEST(Fleet, WithoutReportsThePartGrowsWhileEnginesAreCalmOnly) {
+    const int calm = most_out(1'000'000);
+    EXPECT_GE(calm, 4);
+    EXPECT_LE(calm, 40);
+    // Costs aren't told here: answers after their aim are the sign of strain.
+    EXPECT_LE(most_out(9'000'000), 2);
+}
+
 TEST(Fleet, ReportsOfRoomLetMorePass) {
     Rig rig(one_of(170));
     rig.list(fleet(30));
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -197,6 +197,29 @@
     }
 }
 
+// Grants for a long query estimated at 20 MB, after so many like it have told in notes that they lacked 40 MB.
+double grant_after(int spills, WhenShort when_short, bool told) {
+    Settings s = plain();
+    s.when_short = when_short, s.cost_in_answers = told;
+    Rig rig(s);
+    rig.list({engine(1)});
+    for (int i = 0; i <= spills; ++i) {
+        rig.demand(nth("l", i), "long");
+        if (i == spills) break;
+        rig.feed(Note{nth("l", i), 0, 1, NoteTopic::spills, 40});
+        rig.outcome(nth("l", i), 0, 1, Outcome::done, true, 1'000'000);
+    }
+    return rig.terms.back().grant_mb;
+}
+
+TEST(Grants, NeedsAreLearntFromNotesOfSpilling) {
+    EXPECT_NEAR(grant_after(0, WhenShort::trim, false), 25, 1e-9);
+    EXPECT_GT(grant_after(20, WhenShort::trim, false), 60);
+    EXPECT_LE(grant_after(500, WhenShort::trim, false), 16384.0 * 2 / 16 + 100);  // what all of C can have, at most
+    EXPECT_NEAR(grant_after(20, WhenShort::trim, true), 25, 1e-9);                // answers tell the need
+    EXPECT_NEAR(grant_after(20, WhenShort::swap, false), 60, 1e-9);               // the grant is free there
+}
+
 TEST(Discovery, AskedAtTheStartAndAgainWhenLost) {
     Settings s = plain();
     s.ask_discovery = true;
