--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -53,6 +53,7 @@
 constexpr double kCalm = 1.3, kStrained = 1.7;  // run time over a calm one: the part grows, shrinks
 constexpr double kLateLeast = 0.1, kLateMost = 0.3;   // share of late attempts, likewise
 constexpr double kReachDown = 0.7, kCalmCreep = 1.002;  // a second
+constexpr double kForLoad = 2;  // a note's value: it waits for a load
 constexpr double kJam = 2.5;  // reported threads a core, a quarter past C for all fronts: nothing more goes
 constexpr std::size_t kScan = 8;  // held requests looked at per side when the first can't go
 
@@ -435,9 +436,9 @@
         approach(strain, ratio / k.calm);
     }
 
-    // Even parts of C hold back fronts of much traffic while others leave theirs: where nothing reports, a part
-    // grows while it binds and engines are calm, and shrinks once they strain or, where costs aren't told and
-    // strain is relative, once attempts miss their aim by themselves. Guards against uneven fronts, short
+    // Even parts of C hold back fronts of much traffic while others leave theirs. Where nothing reports, a
+    // part grows while it binds and engines are calm, and shrinks once they strain or, with costs not told
+    // and strain so relative, once attempts miss their aim by themselves. Guards against uneven fronts, short
     // patience, and jams that came before any calm. Harm: strain of a few slow engines shrinks it too.
     void move_reach() {
         for (ClassState& k : classes) k.calm *= kCalmCreep;
@@ -926,6 +927,9 @@
         Attempt& a = requests[slot].attempts[n.attempt];
         engines[a.engine].alive = now;
         if (n.topic == NoteTopic::spills && a.open) learn_need(requests[slot], a, n.value);
+        // Behind a load, of whatever front, it stands still: moved at once, as nothing is lost.
+        if (n.topic == NoteTopic::waits && n.value == kForLoad && a.open && may_move(requests[slot]))
+            actions.push_back(Cancel{requests[slot].id, n.attempt});
         if (n.topic != NoteTopic::progress || !a.open) return;
         a.progress = std::clamp(n.value, 0.0, 1.0);
         const double lasts = static_cast<double>(now - a.sent) / std::max(a.progress, 0.01);
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -171,6 +171,20 @@
     EXPECT_EQ(rig.cancels.size(), 0u);
 }
 
+TEST(CallOff, WhatWaitsForALoadIsMovedAtOnceButForItsLastTry) {
+    Rig rig(plain());  // three attempts
+    rig.list({engine(1), engine(2)});
+    rig.demand("s", "short");
+    for (int n = 0; n < 3; ++n) {
+        ASSERT_EQ(rig.sends.size(), static_cast<std::size_t>(n + 1));
+        rig.feed(Note{"s", n, rig.sends.back().engine, NoteTopic::waits, 1});  // for memory: moves nothing
+        EXPECT_EQ(rig.cancels.size(), static_cast<std::size_t>(n));
+        rig.feed(Note{"s", n, rig.sends.back().engine, NoteTopic::waits, 2});
+        if (n < 2) rig.outcome("s", n, rig.sends.back().engine, Outcome::ecanceled);
+    }
+    EXPECT_EQ(rig.cancels.size(), 2u);
+}
+
 TEST(CallOff, NeverWhatMustNotRunTwiceNorWhereItFreesNothing) {
     Settings fixed = plain();
     fixed.may_cancel = false;
