--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -67,6 +67,7 @@
 constexpr double kErrorStep = 0.15, kErrorTrial = 0.1, kErrorShun = 0.25;  // two errors in a row shun
 constexpr Micros kShunFirst = 500 * kMs, kShunMost = 4 * kSecond;
 constexpr double kSilentNotes = 2.5;  // note periods without any sign of life: silent
+constexpr Micros kStall = 200 * kMs;  // without any event, timers included
 constexpr double kTimeOutRuns = 6;    // usual runs that a trial may take where nothing can be called off
 constexpr double kRunaway = 3;  // an attempt with more than this many usual runs still to go is called off
 
@@ -242,7 +243,7 @@
     std::uint64_t seq = 0;
     double first_sensitive = 0, first_all = 0;
     bool subscribed = false;
-    Micros asked = 0, fitted = 0, moved = 0, heard = -kNever;
+    Micros asked = 0, fitted = 0, moved = 0, heard = -kNever, woke = 0;
 
     struct {
         double run = 0, work = 0, memory = 0, threads = 1;
@@ -421,8 +422,7 @@
         }
     }
 
-    // Strain is what run times grow by from engines being full: over told work, or over the calmest usual of
-    // the class, which creeps up so that lasting change is learnt.
+    // Strain: run time over told work, or over the class's calmest, which creeps up to learn lasting change.
     void observe_strain(const Request& r, const Attempt& a, const Completed& c) {
         ClassState& k = classes[r.cls];
         const double told = c.work_ms * kMs, known = told > 0 ? told : r.raw_cost;
@@ -574,7 +574,6 @@
         if (!under_pressure(e) && threads + elsewhere * usual.threads <= kKnee * e.cores) return true;
         // Where fronts outnumber threads, C for each engine is under one query: it binds over the fleet too.
         // Sensitive queries pass while reports tell of room, best-effort ones wait while they tell of none.
-        // Guards against jams by many small parts. Harm: large fronts starve among idle ones.
         const double part = kThreadsPerCore / s.siblings * (s.reports == ReportSource::none ? reach : 1);
         const bool quick = classes[r.cls].sensitive, passes = quick && crowded() < kKnee;
         if (!quick && crowded() > kThreadsPerCore) return false;
@@ -645,9 +644,8 @@
         return r.side == Side::sensitive ? sensitive : tenants[r.tenant].queue;
     }
 
-    // Over its share, or too late for its aim. Such a request waits behind both sides: by due time alone,
-    // what is long past due would go before all that can still be served in time, and soon nothing is. Harm:
-    // where costs are overestimated, what could have made its aim waits too.
+    // Over its share or too late for its aim: waits behind both sides. By due time alone the long overdue go
+    // first, and soon nothing is in time. Harm: where costs are overestimated, what is in time waits too.
     bool gives_way(const Request& r) const { return r.shed || r.over_share || now + run_time(r) > r.aim; }
 
     // Work for each unit of worth still to be had.
@@ -789,7 +787,7 @@
             if (s.note_period <= 0 || e.out.empty()) continue;
             const Micros silence = static_cast<Micros>(kSilentNotes * static_cast<double>(s.note_period));
             const Attempt& oldest = requests[e.out.front().first].attempts[e.out.front().second];
-            if (now - std::max(oldest.sent, e.alive) < silence) continue;
+            if (now - std::max({oldest.sent, e.alive, woke}) < silence) continue;
             shun(e);
             for (const auto& [slot, n] : e.out)
                 if (may_move(requests[slot])) actions.push_back(Cancel{requests[slot].id, n});
@@ -870,7 +868,7 @@
             r.over_share = q.tokens < 1;
             q.tokens -= !r.over_share;
         }
-        // What an engine holds at a moment is mostly long queries: weighted by run time.
+        // Weighted by run time: what an engine holds at a moment is mostly long queries.
         approach(usual.run, run_time(r), kLearn);
         const double step = std::min(1.0, kLearn * run_time(r) / std::max(usual.run, 1.0));
         approach(usual.work, r.cost, step), approach(usual.memory, r.memory, step);
@@ -934,10 +932,9 @@
         a.progress = std::clamp(n.value, 0.0, 1.0);
         const double lasts = static_cast<double>(now - a.sent) / std::max(a.progress, 0.01);
         approach(engines[a.engine].slow, a.slowness(lasts));
-        // Guards against an attempt that gets on far slower than a fresh one would: a bad plan, or an engine
-        // that is slow alone. It is called off and sent again. When all engines are slow, so is the measure.
-        // One that would take as long again was no bad plan but is costly by itself, and is let finish.
-        // Harm: work done is lost, so a query far over its estimate loses its first try.
+        // An attempt that gets on far slower than a fresh one would, by a bad plan or a slow engine, is sent
+        // again. One that would take as long again is costly by itself and let finish. When all engines are
+        // slow, so is the measure. Harm: a query far over its estimate loses its first try.
         Request& r = requests[slot];
         const double usual_run = std::max(run_time(r) * usual_slow(), r.shown);
         if (!may_move(r) || lasts * (1 - a.progress) <= kRunaway * usual_run) return;
@@ -987,6 +984,7 @@
     }
 
     void take(Micros at, const Event& event) {
+        if (at > now + kStall) woke = at;  // timers come more often: this front stood still and heard nothing
         now = std::max(now, at);
         while (!taken.empty() && taken.front() <= now - s.ratio_span) taken.pop_front();
         while (!further.empty() && further.front() < now - s.ratio_span) further.pop_front();
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -116,6 +116,20 @@
     EXPECT_EQ(tally(rig, 1)[silent], 0);
 }
 
+TEST(Health, AStallOfTheFrontMakesNoEngineSilent) {
+    Settings s = plain();
+    s.note_period = 500'000;
+    Rig rig(s);
+    rig.list({engine(1), engine(2)});
+    rig.demand("l", "long");
+    rig.run_until(400'000, false);
+    rig.at(2'000'000);  // no turn for 1.6 s; a timer is the first thing heard, its notes come after
+    rig.feed(Bell{0});
+    EXPECT_EQ(rig.cancels.size(), 0u);
+    rig.run_until(4'000'000, false);
+    EXPECT_EQ(rig.cancels.size() > 0, true);  // and this is silence
+}
+
 TEST(Health, NotesKeepAnEngineTrusted) {
     Settings s = plain();
     s.note_period = 1'000'000;
