--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -66,7 +66,7 @@
 constexpr double kSmooth = 0.1;      // EWMA step of ratios: about the last ten
 constexpr double kErrorStep = 0.15, kErrorTrial = 0.1, kErrorShun = 0.25;  // two errors in a row shun
 constexpr Micros kShunFirst = 500 * kMs, kShunMost = 4 * kSecond;
-constexpr double kSilentNotes = 2.5;  // note periods without any sign of life: silent
+constexpr double kSilentNotes = 1.5;  // note periods without any sign of life: silent
 constexpr Micros kStall = 200 * kMs;  // without any event, timers included
 constexpr double kTimeOutRuns = 6;    // usual runs that a trial may take where nothing can be called off
 constexpr double kRunaway = 3;  // an attempt with more than this many usual runs still to go is called off
