--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -933,12 +933,12 @@
         const double lasts = static_cast<double>(now - a.sent) / std::max(a.progress, 0.01);
         approach(engines[a.engine].slow, a.slowness(lasts));
         // An attempt that gets on far slower than a fresh one would, by a bad plan or a slow engine, is sent
-        // again. One that would take as long again is costly by itself and let finish. When all engines are
-        // slow, so is the measure. Harm: a query far over its estimate loses its first try.
+        // again. Without an estimate, one that would take as long again is costly by itself and let finish.
+        // When all engines are slow, so is the measure. Harm: a query far over its estimate loses its tries.
         Request& r = requests[slot];
         const double usual_run = std::max(run_time(r) * usual_slow(), r.shown);
         if (!may_move(r) || lasts * (1 - a.progress) <= kRunaway * usual_run) return;
-        r.shown = r.shown > 0 ? std::min(r.shown, lasts) : lasts;
+        if (r.raw_cost <= 0) r.shown = r.shown > 0 ? std::min(r.shown, lasts) : lasts;
         actions.push_back(Cancel{r.id, n.attempt});
     }
 
