--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -51,7 +51,7 @@
 constexpr double kQuiet = 0.3;                   // latencies in the lower 30% hold little contention
 constexpr double kOtherZone = 1.5;               // weight of an engine in another zone, where crossing costs
 constexpr double kCalm = 1.3, kStrained = 1.7;  // run time over a calm one: the part grows, shrinks
-constexpr double kLateLeast = 0.1, kLateMost = 0.3;   // share of late attempts, likewise
+constexpr double kLateLeast = 0.1, kLateMost = 0.3;  // share of late attempts, likewise
 constexpr double kReachDown = 0.7, kCalmCreep = 1.002;  // a second
 constexpr double kForLoad = 2;  // a note's value: it waits for a load
 constexpr double kJam = 2.5;  // reported threads a core, a quarter past C for all fronts: nothing more goes
@@ -66,7 +66,7 @@
 constexpr double kSmooth = 0.1;      // EWMA step of ratios: about the last ten
 constexpr double kErrorStep = 0.15, kErrorTrial = 0.1, kErrorShun = 0.25;  // two errors in a row shun
 constexpr Micros kShunFirst = 500 * kMs, kShunMost = 4 * kSecond;
-constexpr double kSilentNotes = 1.5;  // note periods without any sign of life: silent
+constexpr Micros kSilentAfter = 600 * kMs;  // a note is due without any sign of life: silent
 constexpr Micros kStall = 200 * kMs;  // without any event, timers included
 constexpr double kTimeOutRuns = 6;    // usual runs that a trial may take where nothing can be called off
 constexpr double kRunaway = 3;  // an attempt with more than this many usual runs still to go is called off
@@ -291,7 +291,7 @@
     bool may_try_again(const Request& r) const {
         if (r.finished || r.streaming || now >= r.deadline) return false;
         const bool spent = static_cast<int>(r.attempts.size()) >= s.attempts_cap;
-        if (spent || (!s.may_duplicate && r.attempt_out())) return false;
+        if (spent || r.attempt_out()) return false;  // no second copy, though may_duplicate may allow one
         if (r.bound_to >= 0) {  // something may have run
             if (s.classes[r.cls].effect == Effect::once) return false;
             if (s.classes[r.cls].effect == Effect::by_key && now >= r.bound_since + s.classes[r.cls].window)
@@ -785,7 +785,7 @@
             if (now >= e.lot_until) e.lot = uniform(), e.lot_until = now + s.overload_for;
             // No note and no answer from an engine that holds work: silent. What may move is called off.
             if (s.note_period <= 0 || e.out.empty()) continue;
-            const Micros silence = static_cast<Micros>(kSilentNotes * static_cast<double>(s.note_period));
+            const Micros silence = s.note_period + kSilentAfter;
             const Attempt& oldest = requests[e.out.front().first].attempts[e.out.front().second];
             if (now - std::max({oldest.sent, e.alive, woke}) < silence) continue;
             shun(e);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -111,12 +111,17 @@
     EXPECT_EQ(rig.failed("a"), 1);
 }
 
-TEST(NoOverlap, NothingIsSentWhileAnAttemptIsOut) {
-    Rig rig(plain());
-    rig.list({engine(1), engine(2)});
-    rig.demand("a", "long");
-    rig.run_until(15'000'000);
-    EXPECT_EQ(rig.sends.size(), 1u);
+TEST(NoOverlap, NothingIsSentWhileAnAttemptIsOutAllowedOrNot) {
+    for (const bool copies : {false, true})
+        for (const char* type : {"long", "keyed", "unsafe"}) {
+            Settings s = plain();
+            s.may_duplicate = copies;
+            Rig rig(s);
+            rig.list({engine(1), engine(2)});
+            rig.demand("a", type);
+            rig.run_until(15'000'000);
+            EXPECT_EQ(rig.sends.size(), 1u);
+        }
 }
 
 // ---- rule 3: drains
