--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -203,3 +203,41 @@
             EXPECT_EQ(rig.refusals.size() + rig.failures.size(), 16u);
         }
 }
+
+// Nothing is told: no reports, estimates, memory, tenants, cores or notes; the list comes once, and time jumps.
+TEST(Fleet, WithEverythingAbsentAndTimeJumpingEveryRequestGetsItsAnswer) {
+    for (const int fronts : {1, 300}) {
+        Settings s = one_of(fronts);
+        s.kinds.clear();
+        s.grants = s.priorities = s.may_cancel = s.retry_hints = false;
+        s.warm_up = s.overload_for = s.drain_grace = 0;
+        s.cold_share = s.overload_factor = 0;
+        Rig rig(s);
+        rig.list(fleet(5));
+        std::size_t answered = 0;
+        int n = 0;
+        for (int jump = 1; jump <= 8; ++jump) {
+            for (int i = 0; i < 6; ++i) {
+                Demand d;
+                d.id = nth("q", n++), d.type = i % 2 ? "short" : "long", d.time_left = 4'000'000;
+                rig.feed(d);
+            }
+            for (const Send& send : std::exchange(rig.sends, {})) {
+                rig.outcome(send.id, 0, send.engine, Outcome::done, true, 50'000);
+                rig.outcome(send.id, 0, send.engine, Outcome::done, true, 50'000);  // an ended one again
+                ++answered;
+            }
+            rig.at(rig.now + 3'000'000);
+            rig.feed(Bell{0});
+        }
+        rig.run_until(rig.now + 5'000'000, false);
+        for (const Send& send : rig.sends) {
+            rig.outcome(send.id, 0, send.engine, Outcome::done, true);
+            ++answered;
+        }
+        EXPECT_GT(answered, 0u);
+        for (int i = 0; i < n; ++i)
+            EXPECT_LE(rig.refused(nth("q", i)) + rig.failed(nth("q", i)), 1) << fronts << ' ' << i;
+        EXPECT_EQ(answered + rig.refusals.size() + rig.failures.size(), static_cast<std::size_t>(n));
+    }
+}
