Tidied, the same decisions: one guard of the notes, the part moves only where nothing reports, test set-ups shared

A note of an ended attempt is passed over once, not in three conditions; the calmest run starts at never, without a case for none yet; the projection of a first try is kept as it is, since a later one that is called off is always longer; whether anything reports is asked when the part moves, not at every look at an engine.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -185,8 +185,7 @@
 struct ClassState {
     double cost_ratio = 1, memory_ratio = 1;            // true over estimate
     double work = 0, raw = 0;                           // usual work and estimate of it
-    // Run time over what was to be expected of it, usually and when calm; and how many answers these rest on.
-    double ratio = 1, calm = 0, heard = 0;
+    double ratio = 1, calm = kNever, heard = 0;  // run time over expected: usual, calm; answers heard
     bool sensitive = false;
 };
 
@@ -432,15 +431,15 @@
         approach(k.ratio, ratio, std::max(kLearn, 1 / ++k.heard));
         if (known <= 0 && k.heard > kSeedAnswers) k.work = k.ratio * base;  // nothing else tells it
         if (k.heard < kFewSamples && told <= 0) return;
-        k.calm = told > 0 ? 1 : k.calm > 0 ? std::min(k.calm, k.ratio) : k.ratio;
+        k.calm = told > 0 ? 1 : std::min(k.calm, k.ratio);
         approach(strain, ratio / k.calm);
     }
 
-    // Even parts of C hold back fronts of much traffic while others leave theirs. Where nothing reports, a
-    // part grows while it binds and engines are calm, and shrinks once they strain or, with costs not told
-    // and strain so relative, once attempts miss their aim by themselves. Guards against uneven fronts, short
-    // patience, and jams that came before any calm. Harm: strain of a few slow engines shrinks it too.
+    // Where nothing reports, a part of C grows while it binds and engines are calm, and shrinks once they
+    // strain or, with costs not told and strain so relative, attempts are late by themselves. Guards against
+    // uneven fronts and jams that came before any calm. Harm: strain of a few slow engines shrinks it too.
     void move_reach() {
+        if (s.reports != ReportSource::none) return;
         for (ClassState& k : classes) k.calm *= kCalmCreep;
         if (strain > kStrained || late > kLateMost) reach = std::max(1.0, reach * kReachDown);
         else if (bound && strain < kCalm && late < kLateLeast)
@@ -574,7 +573,7 @@
         if (!under_pressure(e) && threads + elsewhere * usual.threads <= kKnee * e.cores) return true;
         // Where fronts outnumber threads, C for each engine is under one query: it binds over the fleet too.
         // Sensitive queries pass while reports tell of room, best-effort ones wait while they tell of none.
-        const double part = kThreadsPerCore / s.siblings * (s.reports == ReportSource::none ? reach : 1);
+        const double part = kThreadsPerCore / s.siblings * reach;
         const bool quick = classes[r.cls].sensitive, passes = quick && crowded() < kKnee;
         if (!quick && crowded() > kThreadsPerCore) return false;
         if (!passes && out_of_side[quick] > 0 && out_threads + width > part * fleet_cores) {
@@ -906,7 +905,7 @@
         if (!s.cost_in_answers && (done || (lingers && e.alive >= a.sent)))
             approach(late, !done || c.taken > r.aim - r.arrival);
         if (!never_ran(c.outcome) && r.bound_to < 0) r.bound_to = a.engine, r.bound_since = a.sent;
-        if (c.outcome == Outcome::done) {
+        if (done) {
             learn(r, a, c);
             observe_strain(r, a, c);
             observe_latency(r, a, c.taken);
@@ -924,21 +923,22 @@
             return;
         Attempt& a = requests[slot].attempts[n.attempt];
         engines[a.engine].alive = now;
-        if (n.topic == NoteTopic::spills && a.open) learn_need(requests[slot], a, n.value);
+        if (!a.open) return;
+        Request& r = requests[slot];
+        if (n.topic == NoteTopic::spills) learn_need(r, a, n.value);
         // Behind a load, of whatever front, it stands still: moved at once, as nothing is lost.
-        if (n.topic == NoteTopic::waits && n.value == kForLoad && a.open && may_move(requests[slot]))
-            actions.push_back(Cancel{requests[slot].id, n.attempt});
-        if (n.topic != NoteTopic::progress || !a.open) return;
+        if (n.topic == NoteTopic::waits && n.value == kForLoad && may_move(r))
+            actions.push_back(Cancel{r.id, n.attempt});
+        if (n.topic != NoteTopic::progress) return;
         a.progress = std::clamp(n.value, 0.0, 1.0);
         const double lasts = static_cast<double>(now - a.sent) / std::max(a.progress, 0.01);
         approach(engines[a.engine].slow, a.slowness(lasts));
         // An attempt that gets on far slower than a fresh one would, by a bad plan or a slow engine, is sent
         // again. Without an estimate, one that would take as long again is costly by itself and let finish.
         // When all engines are slow, so is the measure. Harm: a query far over its estimate loses its tries.
-        Request& r = requests[slot];
         const double usual_run = std::max(run_time(r) * usual_slow(), r.shown);
         if (!may_move(r) || lasts * (1 - a.progress) <= kRunaway * usual_run) return;
-        if (r.raw_cost <= 0) r.shown = r.shown > 0 ? std::min(r.shown, lasts) : lasts;
+        if (r.raw_cost <= 0 && r.shown <= 0) r.shown = lasts;
         actions.push_back(Cancel{r.id, n.attempt});
     }
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -219,9 +219,7 @@
         int n = 0;
         for (int jump = 1; jump <= 8; ++jump) {
             for (int i = 0; i < 6; ++i) {
-                Demand d;
-                d.id = nth("q", n++), d.type = i % 2 ? "short" : "long", d.time_left = 4'000'000;
-                rig.feed(d);
+                rig.feed(unestimated(nth("q", n++), i % 2 ? "short" : "long", 4'000'000));
             }
             for (const Send& send : std::exchange(rig.sends, {})) {
                 rig.outcome(send.id, 0, send.engine, Outcome::done, true, 50'000);
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -100,12 +100,18 @@
     EXPECT_GT(rig.sends.size(), before);
 }
 
-TEST(Health, ASilentEngineIsLeftAndItsWorkGoesElsewhere) {
+// A front with a long query out on one of two engines, which send notes each so often.
+Rig awaiting_notes(Micros period) {
     Settings s = plain();
-    s.note_period = 1'000'000;
+    s.note_period = period;
     Rig rig(s);
     rig.list({engine(1), engine(2)});
     rig.demand("a", "long");
+    return rig;
+}
+
+TEST(Health, ASilentEngineIsLeftAndItsWorkGoesElsewhere) {
+    Rig rig = awaiting_notes(1'000'000);
     const EngineId silent = rig.sends[0].engine;
     rig.run_until(3'000'000, false);  // no note, no answer
     ASSERT_FALSE(rig.cancels.empty());
@@ -117,11 +123,7 @@
 }
 
 TEST(Health, AStallOfTheFrontMakesNoEngineSilent) {
-    Settings s = plain();
-    s.note_period = 500'000;
-    Rig rig(s);
-    rig.list({engine(1), engine(2)});
-    rig.demand("l", "long");
+    Rig rig = awaiting_notes(500'000);
     rig.run_until(400'000, false);
     rig.at(2'000'000);  // no turn for 1.6 s; a timer is the first thing heard, its notes come after
     rig.feed(Bell{0});
@@ -131,11 +133,7 @@
 }
 
 TEST(Health, NotesKeepAnEngineTrusted) {
-    Settings s = plain();
-    s.note_period = 1'000'000;
-    Rig rig(s);
-    rig.list({engine(1), engine(2)});
-    rig.demand("a", "long");
+    Rig rig = awaiting_notes(1'000'000);
     rig.run_until(3'000'000, true);
     EXPECT_TRUE(rig.cancels.empty());
 }
@@ -155,8 +153,8 @@
 std::size_t called_off(std::optional<Micros> estimate) {
     Rig rig(plain());
     rig.list({engine(1), engine(2)});
-    Demand d;
-    d.id = "l", d.type = "long", d.time_left = 20'000'000, d.cost = estimate;
+    Demand d = unestimated("l", "long", 20'000'000);
+    d.cost = estimate;
     rig.feed(d);
     for (int n = 0; n < 2; ++n) {
         rig.at((n + 1) * 1'000'000);
@@ -174,11 +172,8 @@
 TEST(Estimates, UsualWorkIsLearntFromAnswersWhereNothingTellsIt) {
     Rig rig(plain());
     rig.list({engine(1), engine(2)});
-    const auto ask = [&](const std::string& id) {
-        Demand d;
-        d.id = id, d.type = "long", d.time_left = 20'000'000;  // no estimate: aim times threads over four
-        rig.feed(d);
-    };
+    // The seed is aim times threads over four.
+    const auto ask = [&](const std::string& id) { rig.feed(unestimated(id, "long", 20'000'000)); };
     for (int i = 0; i < 40; ++i) {
         ask(nth("l", i));
         rig.outcome(nth("l", i), 0, rig.sends.back().engine, Outcome::done, true, 3'000'000);
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -46,6 +46,13 @@
     return e;
 }
 
+// A query of which nothing is estimated.
+inline Demand unestimated(const std::string& id, const std::string& type, Micros time_left) {
+    Demand d;
+    d.id = id, d.type = type, d.time_left = time_left;
+    return d;
+}
+
 class Rig {
 public:
     explicit Rig(Settings s, std::uint64_t seed = 7) : brain(0, seed, std::move(s)) { keep(brain.start()); }
