--- a/src/wire.cpp
+++ b/src/bench/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.hpp"
+#include "bench/wire.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/wire.hpp
+++ b/src/bench/wire.hpp
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "brain.hpp"
+#include "policy/brain.hpp"
 
 namespace gatetiller::wire {
 
--- a/src/wirehost.cpp
+++ b/src/bench/wirehost.cpp
@@ -1,7 +1,7 @@
 // The adapter: the decisions on the simulator's wire, on standard input and output.
 #include <iostream>
 
-#include "wire.hpp"
+#include "bench/wire.hpp"
 
 int main() {
     std::ios::sync_with_stdio(false);
--- a/src/brain.hpp
+++ b/src/policy/brain.hpp
@@ -9,9 +9,10 @@
 #include <variant>
 #include <vector>
 
+#include "base/time.hpp"
+
 namespace gatetiller {
 
-using Micros = std::int64_t;  // a time or a span of time, in microseconds
 using EngineId = std::uint32_t;
 
 // ---- Settings
--- a/tests/wire_test.cpp
+++ b/tests/bench/wire_test.cpp
@@ -1,5 +1,5 @@
 // The codec: what is malformed gets one plain message and a bad exit; what is unknown is passed over.
-#include "wire.hpp"
+#include "bench/wire.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/fit_test.cpp
+++ b/tests/policy/fit_test.cpp
@@ -3,7 +3,7 @@
 
 #include <cmath>
 
-#include "brain.hpp"
+#include "policy/brain.hpp"
 
 using namespace gatetiller;
 
--- a/tests/fleet_test.cpp
+++ b/tests/policy/fleet_test.cpp
@@ -1,7 +1,7 @@
 // Many fronts on many engines, where a front's part of an engine is less than one query.
 #include <gtest/gtest.h>
 
-#include "rig.hpp"
+#include "policy/rig.hpp"
 
 using namespace gatetiller;
 using namespace gatetiller::testing;
--- a/tests/front_test.cpp
+++ b/tests/policy/front_test.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <stdexcept>
 
-#include "rig.hpp"
+#include "policy/rig.hpp"
 
 using namespace gatetiller;
 using namespace gatetiller::testing;
--- a/tests/rig.hpp
+++ b/tests/policy/rig.hpp
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "brain.hpp"
+#include "policy/brain.hpp"
 
 namespace gatetiller::testing {
 
--- a/tests/rules_test.cpp
+++ b/tests/policy/rules_test.cpp
@@ -1,7 +1,7 @@
 // The seven rules, each on both sides of its edge, against one front fed by hand.
 #include <gtest/gtest.h>
 
-#include "rig.hpp"
+#include "policy/rig.hpp"
 
 using namespace gatetiller;
 using namespace gatetiller::testing;
