--- /dev/null
+++ b/src/base/buffer.hpp
@@ -0,0 +1,51 @@
+// Bytes on their way: appended at the end, taken from the front. One piece of memory; views are good until the
+// next append. Memory that was needed once for a large message is given back when the buffer runs empty.
+#pragma once
+
+#include <cassert>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace gatetiller {
+
+class Buffer {
+public:
+    void append(std::string_view bytes) {
+        if (start_ > 0 && start_ >= held_.size() / 2) compact();
+        held_.append(bytes);
+    }
+    void append(std::string&& bytes) {
+        if (empty()) {
+            held_ = std::move(bytes);
+            start_ = 0;
+        } else {
+            append(std::string_view(bytes));
+        }
+    }
+    void take(std::size_t n) {
+        assert(n <= size());
+        start_ += n;
+        if (start_ == held_.size()) clear();
+    }
+    void clear() {
+        held_.clear();
+        start_ = 0;
+        if (held_.capacity() > kKeep) held_.shrink_to_fit();
+    }
+    std::string_view view() const { return std::string_view(held_).substr(start_); }
+    std::size_t size() const { return held_.size() - start_; }
+    bool empty() const { return size() == 0; }
+
+private:
+    static constexpr std::size_t kKeep = 4096;
+    void compact() {
+        held_.erase(0, start_);
+        start_ = 0;
+    }
+
+    std::string held_;
+    std::size_t start_ = 0;
+};
+
+}  // namespace gatetiller
--- /dev/null
+++ b/src/base/result.hpp
@@ -0,0 +1,33 @@
+// The one way to fail: a value, or an Error that says what, where and what to do. Nothing here throws.
+#pragma once
+
+#include <cassert>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace gatetiller {
+
+struct Error {
+    std::string text;
+};
+
+template <typename T>
+class [[nodiscard]] Result {
+public:
+    Result(T value) : held_(std::in_place_index<0>, std::move(value)) {}
+    Result(Error error) : held_(std::in_place_index<1>, std::move(error)) {}
+
+    bool ok() const { return held_.index() == 0; }
+    explicit operator bool() const { return ok(); }
+    T& operator*() { return assert(ok()), *std::get_if<0>(&held_); }
+    const T& operator*() const { return assert(ok()), *std::get_if<0>(&held_); }
+    T* operator->() { return &**this; }
+    const T* operator->() const { return &**this; }
+    const std::string& error() const { return assert(!ok()), std::get_if<1>(&held_)->text; }
+
+private:
+    std::variant<T, Error> held_;
+};
+
+}  // namespace gatetiller
--- /dev/null
+++ b/src/base/text.hpp
@@ -0,0 +1,59 @@
+// Small matters of text.
+#pragma once
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gatetiller {
+
+inline char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; }
+
+inline bool same_word(std::string_view a, std::string_view b) {  // without regard to ASCII case
+    return a.size() == b.size() &&
+           std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
+inline std::string_view trimmed(std::string_view text) {
+    const auto from = text.find_first_not_of(" \t");
+    if (from == std::string_view::npos) return {};
+    return text.substr(from, text.find_last_not_of(" \t") - from + 1);
+}
+
+// The parts between separators, trimmed; empty parts are left out.
+inline std::vector<std::string_view> split(std::string_view text, char separator) {
+    std::vector<std::string_view> parts;
+    for (std::size_t at = 0; at <= text.size();) {
+        const std::size_t end = std::min(text.find(separator, at), text.size());
+        if (const auto part = trimmed(text.substr(at, end - at)); !part.empty()) parts.push_back(part);
+        at = end + 1;
+    }
+    return parts;
+}
+
+// The whole text as a number, or nothing.
+template <typename T>
+std::optional<T> to_number(std::string_view text) {
+    T value{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || text.empty()) return std::nullopt;
+    return value;
+}
+
+// `*` stands for any run of characters; everything else for itself. Linear in practice, no recursion.
+inline bool glob_matches(std::string_view pattern, std::string_view text) {
+    std::size_t p = 0, t = 0, star = std::string_view::npos, mark = 0;
+    while (t < text.size()) {
+        if (p < pattern.size() && pattern[p] == '*') star = p++, mark = t;
+        else if (p < pattern.size() && pattern[p] == text[t]) ++p, ++t;
+        else if (star != std::string_view::npos) p = star + 1, t = ++mark;
+        else return false;
+    }
+    while (p < pattern.size() && pattern[p] == '*') ++p;
+    return p == pattern.size();
+}
+
+}  // namespace gatetiller
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,353 @@
+#include "config/settings.hpp"
+
+extern "C" {
+#include <libjsonnet.h>
+}
+
+#include <cstdlib>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "config/reader.hpp"
+
+namespace gatetiller::config {
+
+extern const char* const kLibrary;  // gatetiller.libsonnet, built in by CMake
+
+namespace {
+
+using Json = nlohmann::json;
+
+char* jsonnet_copy(JsonnetVm* vm, const std::string& text) {
+    char* copy = jsonnet_realloc(vm, nullptr, text.size() + 1);
+    std::memcpy(copy, text.c_str(), text.size() + 1);
+    return copy;
+}
+
+char* import_from(void* context, const char* base, const char* relative, char** found, int* success) {
+    auto* vm = static_cast<JsonnetVm*>(context);
+    if (std::strcmp(relative, "gatetiller.libsonnet") == 0) {
+        *found = jsonnet_copy(vm, relative);
+        *success = 1;
+        return jsonnet_copy(vm, kLibrary);
+    }
+    const std::string path = (std::filesystem::path(base) / relative).string();
+    const auto text = whole_file(path);
+    *success = text.ok();
+    if (!text) return jsonnet_copy(vm, text.error());
+    *found = jsonnet_copy(vm, path);
+    return jsonnet_copy(vm, *text);
+}
+
+void read_classes(Reader& top, Settings& m) {
+    top.each("classes", [&](const std::string& name, Reader& r) {
+        ClassSettings c;
+        c.name = name;
+        r.required({"aim", "deadline", "effect"});
+        r.span("aim", c.aim);
+        r.span("deadline", c.deadline);
+        r.number("aim_stretch", c.aim_stretch, 0, 100);
+        r.word<Effect>("effect", c.effect,
+                       {{"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}});
+        r.word<Scope>("key_scope", c.key_scope, {{"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}});
+        r.span("window", c.window);
+        r.number("late_share", c.late_share, 0, 1);
+        r.number("value", c.value, 0, 1e9);
+        r.flag("in_turn", c.in_turn);
+        r.number("threads", c.threads, 0.1, 4096);
+        r.flag("holds_group", c.holds_group);
+        r.flag("yields_to_loads", c.yields_to_loads);
+        std::vector<std::string> names;
+        if (r.has("kinds")) r.texts("kinds", names), c.served_on = names;
+        else r.texts("kinds", names);
+        names.clear();
+        if (r.has("zones")) r.texts("zones", names), c.azs_open = names;
+        else r.texts("zones", names);
+        if (c.aim <= 0) r.wrong("aim", "must be over 0");
+        if (c.deadline < c.aim) r.wrong("deadline", "must not be shorter than the aim");
+        if (c.effect == Effect::by_key && c.window <= 0)
+            r.wrong("window", "a class by_key says for how long engines drop a repeat, such as '25s'");
+        m.classes.push_back(std::move(c));
+    });
+    if (m.classes.empty()) top.wrong("classes", "at least one class is needed");
+}
+
+void read_facts(Reader& r, Settings& m) {
+    r.flag("grants", m.grants);
+    r.flag("priorities", m.priorities);
+    r.word<WhenShort>("when_short", m.when_short,
+                      {{"queue", WhenShort::queue}, {"trim", WhenShort::trim}, {"swap", WhenShort::swap}});
+    r.flag("cost_in_answers", m.cost_in_answers);
+    r.span("note_period", m.note_period);
+    r.word<ReportSource>("reports", m.reports,
+                         {{"none", ReportSource::none}, {"answers", ReportSource::answers}, {"probe", ReportSource::probe}});
+    r.flag("cancel", m.may_cancel);
+    r.number("largest_share", m.largest_share, 0.01, 1);
+}
+
+void read_rules(Reader& r, Settings& m) {
+    r.count("attempts", m.attempts_cap, 1, 100);
+    r.span("answer_grace", m.grace_to_answer);
+    r.span("drain_grace", m.drain_grace);
+    r.number("cold_share", m.cold_share, 0, 1);
+    r.span("warm_up", m.warm_up);
+    r.number("overload_factor", m.overload_factor, 0, 1000);
+    r.span("overload_for", m.overload_for);
+    r.span("turn_gap", m.turn_gap);
+    r.span("ask_within", m.ask_within);
+    r.object("further_attempts", [&](Reader& b) {
+        b.required({"free", "per_request", "span"});
+        double free = 0, each = 0;
+        b.number("free", free, 0, 1e9);
+        b.number("per_request", each, 0, 100);
+        b.span("span", m.ratio_span);
+        m.extra_free = free, m.extra_per_request = each;
+    });
+}
+
+void read_worth(Reader& r, Settings& m) {
+    r.word<bool>("by", m.worth_by_work, {{"request", false}, {"work", true}});
+    r.number("over_share", m.over_share_worth, 0, 1);
+    r.number("probe_price", m.probe_price, 0, 100);
+    r.number("cross_zone_price", m.cross_zone_price, 0, 100);
+}
+
+void read_engine(const std::string& name, Reader& r, std::vector<EngineSettings>& to) {
+    EngineSettings e;
+    e.name = name;
+    std::string address;
+    r.required({"address"});
+    r.text("address", address);
+    if (!address.empty()) {
+        auto parsed = net::Address::parse(address);
+        if (parsed) e.address = *parsed;
+        else r.wrong("address", parsed.error());
+    }
+    r.text("zone", e.zone);
+    r.text("kind", e.kind);
+    r.count("cell", e.cell, 0, 1e9);
+    r.number("share", e.share, 0, 1e6);
+    r.word<EngineState>("state", e.state, {{"on", EngineState::on}, {"fading", EngineState::fading}, {"off", EngineState::off}});
+    to.push_back(std::move(e));
+}
+
+void read_address(Reader& r, const std::string& key, const std::string& text, std::optional<net::Address>& to) {
+    auto parsed = net::Address::parse(text);
+    if (parsed) to = *parsed;
+    else r.wrong(key, parsed.error());
+}
+
+void read_roster(Reader& r, RosterSettings& to) {
+    r.text("file", to.file);
+    r.span("every", to.every);
+    r.span("watch_every", to.watch_every);
+    std::string url;
+    r.text("url", url);
+    if (url.empty()) return;
+    if (!url.starts_with("http://")) return r.wrong("url", "must begin with http://");
+    const std::size_t slash = std::min(url.find('/', 7), url.size());
+    to.path = slash == url.size() ? "/" : url.substr(slash);
+    read_address(r, "url", url.substr(7, slash - 7), to.http);
+}
+
+void read_route(Reader& r, const Settings& m, std::vector<decide::Route>& to) {
+    decide::Route route;
+    r.required({"class"});
+    r.text("class", route.cls);
+    r.text("tenant", route.tenant);
+    r.text("tenant_from", route.tenant_from);
+    r.text("key_from", route.key_from);
+    r.text("group_from", route.group_from);
+    r.object("match", [&](Reader& match) {
+        match.text("user", route.user);
+        match.text("source", route.source);
+        match.text("catalog", route.catalog);
+        match.text("schema", route.schema);
+        match.texts("tags", route.tags);
+    });
+    std::vector<std::string> classes, tenants;
+    for (const auto& c : m.classes) classes.push_back(c.name);
+    for (const auto& t : m.tenants) tenants.push_back(t.name);
+    const auto known = [&](const char* key, const std::string& name, const std::vector<std::string>& names) {
+        if (name.empty() || std::find(names.begin(), names.end(), name) != names.end()) return;
+        std::string all;
+        for (const auto& n : names) all += (all.empty() ? "" : ", ") + n;
+        r.wrong(key, "'" + name + "' is not defined; defined are: " + all);
+    };
+    known("class", route.cls, classes);
+    known("tenant", route.tenant, tenants);
+    const auto source = [&](const char* key, const std::string& from, std::initializer_list<const char*> allowed) {
+        if (from.empty() || (from.starts_with("tag:") && from.size() > 4)) return;
+        std::string all;
+        for (const char* a : allowed) {
+            if (from == a) return;
+            all += std::string("'") + a + "', ";
+        }
+        r.wrong(key, "'" + from + "' is not one of " + all + "'tag:PREFIX'");
+    };
+    source("tenant_from", route.tenant_from, {"user", "source", "catalog", "schema"});
+    source("key_from", route.key_from, {"trace_token"});
+    source("group_from", route.group_from, {"catalog", "schema"});
+    to.push_back(std::move(route));
+}
+
+void read_limits(Reader& r, FrontSettings& f) {
+    r.count("statements", f.holding.statements, 1, 1e9);
+    r.count("statements_per_user", f.holding.statements_per_user, 1, 1e9);
+    r.bytes("statement", f.holding.statement_bytes);
+    r.bytes("rows_ahead", f.holding.rows_ahead);
+    r.bytes("rows_in_all", f.holding.rows_in_all);
+    r.span("come_back", f.holding.come_back);
+    r.count("connections", f.server.connections, 1, 1e6);
+    r.bytes("header", f.server.limits.header_bytes);
+    r.bytes("engine_document", f.client.limits.body);
+    r.count("idle_connections_per_engine", f.client.idle_connections, 0, 1e5);
+}
+
+void read_times(Reader& r, FrontSettings& f) {
+    r.span("header", f.server.header_time_out);
+    r.span("body", f.server.body_time_out);
+    r.span("idle", f.server.idle_time_out);
+    r.span("write", f.server.write_time_out);
+    r.span("long_poll", f.statements.long_poll);
+    r.span("abandoned_after", f.statements.abandoned_after);
+    r.span("finished_kept", f.statements.finished_kept);
+    r.span("connect", f.client.connect_time_out);
+    r.span("engine_answer", f.calls.answer_time_out);
+    r.span("drain_patience", f.drain_patience);
+}
+
+void read_front(Reader& top, FrontSettings& f) {
+    Settings& m = f.module;
+    top.required({"listen", "classes", "kinds", "routes"});
+    top.text("name", f.name);
+    std::vector<std::string> listen;
+    top.texts("listen", listen);
+    for (const auto& text : listen) {
+        std::optional<net::Address> a;
+        read_address(top, "listen", text, a);
+        if (a) f.listen.push_back(*a);
+    }
+    top.text("zone", m.zone);
+    top.count("me", m.me, 0, 1e6);
+    top.count("fronts", m.siblings, 1, 1e6);
+    if (top.has("seed")) {
+        std::uint64_t seed = 0;
+        top.count("seed", seed, 0, 9e15);
+        f.seed = seed;
+    } else {
+        double none = 0;
+        top.number("seed", none, 0, 0);
+    }
+    read_classes(top, m);
+    top.each("tenants", [&](const std::string& name, Reader& r) {
+        TenantSettings t{name, 0, 0};
+        r.required({"share"});
+        r.number("share", t.share, 0, 1);
+        r.number("quota_per_s", t.quota_per_s, 0, 1e9);
+        m.tenants.push_back(t);
+    });
+    top.each("kinds", [&](const std::string& name, Reader& r) {
+        KindSettings k{name, 0, 0};
+        r.required({"cores", "memory"});
+        r.number("cores", k.cores, 0.1, 1e5);
+        r.megabytes("memory", k.memory_mb);
+        m.kinds.push_back(k);
+    });
+    top.object("facts", [&](Reader& r) { read_facts(r, m); });
+    top.object("rules", [&](Reader& r) { read_rules(r, m); });
+    top.object("worth", [&](Reader& r) { read_worth(r, m); });
+    top.span("retry_hint", m.max_retry_after);
+    m.retry_hints = m.max_retry_after > 0;
+    m.may_probe = m.reports == ReportSource::probe;
+    top.each("engines", [&](const std::string& name, Reader& r) { read_engine(name, r, f.engines); });
+    for (const auto& e : f.engines)
+        if (std::none_of(m.kinds.begin(), m.kinds.end(), [&](const auto& k) { return k.name == e.kind; }))
+            top.wrong("engines", "engine '" + e.name + "' is of kind '" + e.kind + "', which 'kinds' does not define");
+    top.object("roster", [&](Reader& r) { read_roster(r, f.roster); });
+    m.ask_discovery = f.roster.http.has_value();
+    if (m.ask_discovery && m.ask_within <= 0) m.ask_within = 10 * f.roster.every;
+    if (f.engines.empty() && f.roster.file.empty() && !f.roster.http)
+        top.wrong("engines", "no engine and no roster: name engines, or roster.file or roster.url");
+    top.each("routes", [&](const std::string&, Reader& r) { read_route(r, m, f.routes); });
+    top.object("limits", [&](Reader& r) { read_limits(r, f); });
+    f.server.limits.body = f.holding.statement_bytes;
+    top.object("times", [&](Reader& r) { read_times(r, f); });
+    top.flag("trust_forwarded", f.statements.trust_forwarded);
+    top.text("environment", f.statements.environment);
+    top.text("records", f.records);
+    top.object("log", [&](Reader& r) {
+        r.word<std::string>("level", f.log.level, {{"trace", "trace"}, {"debug", "debug"}, {"info", "info"}, {"warn", "warn"}, {"error", "error"}});
+        r.word<std::string>("format", f.log.format, {{"text", "text"}, {"json", "json"}});
+    });
+    f.statements.node_id = f.name;
+}
+
+}  // namespace
+
+Result<std::string> whole_file(const std::string& file) {
+    std::ifstream in(file, std::ios::binary);
+    std::ostringstream text;
+    if (in) text << in.rdbuf();
+    if (!in || in.bad()) return Error{file + ": cannot be read: " + std::strerror(errno)};
+    return text.str();
+}
+
+Result<std::string> evaluate(const std::string& name, const std::string& source) {
+    JsonnetVm* vm = jsonnet_make();
+    jsonnet_import_callback(vm, import_from, vm);
+    jsonnet_max_stack(vm, 500);
+    int error = 0;
+    char* out = jsonnet_evaluate_snippet(vm, name.c_str(), source.c_str(), &error);
+    std::string text = out;
+    jsonnet_realloc(vm, out, 0);
+    jsonnet_destroy(vm);
+    if (error != 0) return Error{text};
+    return text;
+}
+
+Result<Loaded> load_front(const std::string& file) {
+    const auto source = whole_file(file);
+    if (!source) return Error{source.error()};
+    return load_front_text(file, *source);
+}
+
+Result<Loaded> load_front_text(const std::string& name, const std::string& source) {
+    auto text = evaluate(name, source);
+    if (!text) return Error{text.error()};
+    Mistakes mistakes(name, source);
+    const Json json = Json::parse(*text);
+    Loaded loaded;
+    loaded.json = std::move(*text);
+    Reader top(json, {}, mistakes);
+    if (json.is_object()) {
+        read_front(top, loaded.front);
+        top.close();
+        if (mistakes.none()) {
+            try {
+                Brain probe(0, 1, loaded.front.module);  // the module's own checks of settings that contradict themselves
+            } catch (const std::invalid_argument& e) {
+                mistakes.add({}, e.what());
+            }
+        }
+    }
+    if (!mistakes.none()) return Error{mistakes.text()};
+    return loaded;
+}
+
+Result<std::vector<EngineSettings>> read_engine_list(const std::string& text, const std::string& origin) {
+    Mistakes mistakes(origin, text);
+    std::vector<EngineSettings> engines;
+    const Json json = Json::parse(text, nullptr, false);
+    if (json.is_discarded()) return Error{origin + ": not JSON"};
+    Reader top(json, {}, mistakes);
+    top.required({"engines"});
+    top.each("engines", [&](const std::string& name, Reader& r) { read_engine(name, r, engines); });
+    top.close();
+    if (!mistakes.none()) return Error{mistakes.text()};
+    return engines;
+}
+
+}  // namespace gatetiller::config
--- /dev/null
+++ b/src/decide/routing.cpp
@@ -0,0 +1,54 @@
+#include "decide/routing.hpp"
+
+#include <algorithm>
+
+#include "base/text.hpp"
+
+namespace gatetiller::decide {
+namespace {
+
+bool fits(const std::string& pattern, const std::string& text) { return pattern.empty() || glob_matches(pattern, text); }
+
+bool fits(const Route& r, const Traits& t) {
+    return fits(r.user, t.user) && fits(r.source, t.source) && fits(r.catalog, t.catalog) && fits(r.schema, t.schema) &&
+           std::all_of(r.tags.begin(), r.tags.end(), [&](const std::string& wanted) {
+               return std::any_of(t.tags.begin(), t.tags.end(), [&](const auto& tag) { return glob_matches(wanted, tag); });
+           });
+}
+
+std::string value_of(const std::string& from, const Traits& t) {
+    if (from == "user") return t.user;
+    if (from == "source") return t.source;
+    if (from == "catalog") return t.catalog;
+    if (from == "schema") return t.schema;
+    if (from == "trace_token") return t.trace_token;
+    if (from.starts_with("tag:"))
+        for (const std::string& tag : t.tags)
+            if (tag.starts_with(from.substr(4))) return tag.substr(from.size() - 4);
+    return "";
+}
+
+// FNV-1a, so that all fronts give a group the same number. Never 0, which means none.
+std::int64_t number_of(const std::string& name) {
+    if (name.empty()) return 0;
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    return static_cast<std::int64_t>(hash >> 12 | 1);
+}
+
+}  // namespace
+
+Router::Router(std::vector<Route> routes, std::vector<std::string> tenants)
+    : routes_(std::move(routes)), tenants_(std::move(tenants)) {}
+
+std::optional<Routed> Router::route(const Traits& traits) const {
+    const auto found = std::find_if(routes_.begin(), routes_.end(), [&](const Route& r) { return fits(r, traits); });
+    if (found == routes_.end()) return std::nullopt;
+    Routed to{found->cls, found->tenant, value_of(found->key_from, traits), number_of(value_of(found->group_from, traits))};
+    if (to.tenant.empty()) to.tenant = value_of(found->tenant_from, traits);
+    if (!tenants_.empty() && std::find(tenants_.begin(), tenants_.end(), to.tenant) == tenants_.end())
+        to.tenant = tenants_.back();
+    return to;
+}
+
+}  // namespace gatetiller::decide
--- /dev/null
+++ b/src/front/engines.cpp
@@ -0,0 +1,129 @@
+#include "front/engines.hpp"
+
+#include <set>
+
+#include "base/units.hpp"
+#include "statement/json.hpp"
+#include "statement/load_report.hpp"
+
+namespace gatetiller::front {
+Engines::Engines(net::Loop& loop, const config::FrontSettings& s, Events events)
+    : loop_(loop), roster_(s.roster), own_(s.engines), client_options_(s.client), name_(s.name), events_(std::move(events)) {}
+
+Engines::~Engines() { loop_.cancel(watching_); }
+
+void Engines::start() {
+    // The configuration's engines are what is known until a source's first list comes, as a last list would be.
+    take_list(own_, ListForm::warm_copy);
+    open_source();
+    if (roster_.watch_every > 0) watch();
+}
+
+void Engines::open_source() {
+    source_ = roster::make_source(loop_, roster_);
+    if (source_)
+        source_->start({[this](auto list) { take_list(list, ListForm::total); },
+                        [this](const std::string& why) {
+                            events_.log("the list of engines is lost: " + why);
+                            events_.changed({ListForm::lost, {}});
+                        }});
+    else take_list(own_, ListForm::total);
+}
+
+void Engines::ask() {
+    if (source_) source_->ask();
+    else events_.changed({ListForm::incr, {}});
+}
+
+void Engines::reload(const config::FrontSettings& s) {
+    own_ = s.engines, roster_ = s.roster;
+    open_source();
+}
+
+Engine* Engines::find(EngineId id) {
+    const auto found = engines_.find(id);
+    return found == engines_.end() ? nullptr : found->second.get();
+}
+
+void Engines::take_list(const std::vector<config::EngineSettings>& list, ListForm form) {
+    ListChange change{form, {}};
+    std::set<EngineId> named;
+    for (const auto& settings : list) {
+        auto& id = ids_[settings.name + " " + settings.address.text()];
+        if (id == 0) id = ++last_id_;
+        auto& engine = engines_[id];
+        if (!engine) {
+            engine = std::make_unique<Engine>();
+            engine->id = id;
+            engine->client = std::make_unique<http::Client>(loop_, settings.address, client_options_);
+        }
+        engine->settings = settings;
+        engine->watch.listed({id, settings.state, settings.zone, settings.kind, settings.cell, 0, settings.share});
+        named.insert(id);
+        change.engines.push_back(engine->watch.entry());
+    }
+    for (auto& [id, engine] : engines_) {
+        if (named.contains(id) || engine->watch.entry().state == EngineState::off) continue;
+        EngineEntry gone = engine->watch.entry();
+        gone.state = EngineState::off;
+        engine->watch.listed(gone);
+    }
+    events_.changed(std::move(change));
+}
+
+void Engines::changed(Engine& e) {
+    events_.log("engine " + e.settings.name + " is " +
+                (e.watch.entry().state == EngineState::on       ? "on"
+                 : e.watch.entry().state == EngineState::fading ? "draining"
+                                                                : "off"));
+    events_.changed({ListForm::incr, {e.watch.entry()}});
+}
+
+void Engines::watch() {
+    for (auto& [id, e] : engines_)
+        if (e->watch.entry().state != EngineState::off && !e->info.active() && !e->state.active()) ask_state(*e);
+    watching_ = loop_.after(roster_.watch_every, [this] { watch(); });
+}
+
+void Engines::ask_state(Engine& e) {
+    http::Headers headers;
+    headers.add("User-Agent", "gatetiller/" + name_);
+    const Micros limit = std::max(roster_.watch_every, kSecondMicros);
+    e.info = e.client->send({"GET", "/v1/info", 1, headers, {}, {}}, limit, [this, &e, headers, limit](http::Answer a) {
+        if (a.reached != http::Reached::answered || a.response.status != 200) return;
+        const auto found = statement::members(a.response.body);
+        if (!found) return;
+        e.starting = false, e.uptime.reset();
+        for (const auto& m : *found) {
+            if (m.key == "starting") e.starting = m.raw == "true";
+            if (m.key == "uptime")
+                if (const auto span = parse_span(statement::as_string(m.raw).value_or(""))) e.uptime = *span;
+        }
+        e.state = e.client->send({"GET", "/v1/info/state", 1, headers, {}, {}}, limit, [this, &e](http::Answer s) {
+            const bool told = s.reached == http::Reached::answered && s.response.status == 200;
+            if (!told) return;
+            const bool ends = statement::as_string(trimmed(s.response.body)).value_or("") == "SHUTTING_DOWN";
+            if (e.watch.said(loop_.now(), ends, e.starting, e.uptime)) changed(e);
+        });
+    });
+}
+
+void Engines::probe(EngineId id, std::function<void(Micros, Outcome, std::optional<Report>)> done) {
+    Engine* e = find(id);
+    if (!e) return done(0, Outcome::skipped, std::nullopt);
+    const Micros began = loop_.now();
+    e->client
+        ->send({"GET", "/v1/status", 1, {}, {}, {}}, kSecondMicros,
+               [this, began, done = std::move(done)](const http::Answer& a) {
+                   const bool fine = a.reached == http::Reached::answered && a.response.status == 200;
+                   const Outcome how = fine                                        ? Outcome::done
+                                       : a.reached == http::Reached::answered      ? Outcome::err
+                                       : a.reached == http::Reached::late          ? Outcome::etimedout
+                                       : a.reached == http::Reached::broken        ? Outcome::econnreset
+                                                                                   : Outcome::econnrefused;
+                   done(loop_.now() - began, how, fine ? statement::read_report(a.response.headers) : std::nullopt);
+               })
+        .detach();
+}
+
+}  // namespace gatetiller::front
--- /dev/null
+++ b/src/front/engines.hpp
@@ -0,0 +1,65 @@
+// The engines that a front knows: their numbers for the module, their connections, and what the list and they
+// themselves say of their state.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "decide/engine_watch.hpp"
+#include "http/client.hpp"
+#include "roster/roster.hpp"
+
+namespace gatetiller::front {
+
+struct Engine {
+    EngineId id = 0;
+    config::EngineSettings settings;
+    std::unique_ptr<http::Client> client;
+    decide::EngineWatch watch;
+    http::Client::Call info, state;
+    std::optional<Micros> uptime;
+    bool starting = false;
+};
+
+class Engines {
+public:
+    struct Events {
+        std::function<void(ListChange)> changed;
+        std::function<void(std::string)> log;
+    };
+    Engines(net::Loop& loop, const config::FrontSettings& settings, Events events);
+    ~Engines();
+
+    void start();  // the first list, then watching
+    void ask();    // the module wants the list
+    void reload(const config::FrontSettings& settings);
+    Engine* find(EngineId id);
+    const std::map<EngineId, std::unique_ptr<Engine>>& all() const { return engines_; }
+    // Asks an engine for its load; `done` gets the time taken and how it went.
+    void probe(EngineId id, std::function<void(Micros taken, Outcome, std::optional<Report>)> done);
+
+private:
+    void take_list(const std::vector<config::EngineSettings>& list, ListForm form);
+    void open_source();
+    void watch();
+    void ask_state(Engine& e);
+    void changed(Engine& e);
+
+    net::Loop& loop_;
+    config::RosterSettings roster_;
+    std::vector<config::EngineSettings> own_;
+    http::ClientOptions client_options_;
+    std::string name_;
+    Events events_;
+    std::unique_ptr<roster::Source> source_;
+    std::map<EngineId, std::unique_ptr<Engine>> engines_;
+    std::map<std::string, EngineId> ids_;  // by name and address: a name that moves is another engine
+    EngineId last_id_ = 0;
+    net::TimerId watching_ = 0;
+};
+
+}  // namespace gatetiller::front
--- /dev/null
+++ b/src/front/front.cpp
@@ -0,0 +1,464 @@
+#include "front/front.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "statement/load_report.hpp"
+
+namespace gatetiller::front {
+namespace {
+
+constexpr double kMega = 1048576.0;
+constexpr Micros kDrainLook = 50 * kMillisecond;
+constexpr Micros kLastPolls = 300 * kMillisecond;  // after the last final answer, for one that was lost
+constexpr Micros kNearDeadline = 100 * kMillisecond;
+
+std::string session_span(Micros span) { return std::to_string(std::max<Micros>(1, span / kMillisecond)) + "ms"; }
+
+std::string retry_after(Micros span) { return std::to_string(std::max<Micros>(1, (span + kSecondMicros - 1) / kSecondMicros)); }
+
+std::vector<std::string> tenant_names(const Settings& s) {
+    std::vector<std::string> names;
+    for (const auto& t : s.tenants) names.push_back(t.name);
+    return names;
+}
+
+template <typename... Ts>
+struct Overloaded : Ts... {
+    using Ts::operator()...;
+};
+
+}  // namespace
+
+struct Front::Attempt final : statement::EngineCall::Events {
+    Attempt(Front& f, Running& r, int n, EngineId e) : front(f), running(r), number(n), engine(e) {}
+    ~Attempt() override { front.loop_.cancel(timer); }
+    void on_document(statement::EngineCall&, statement::Document d, const http::Headers& h) override {
+        front.on_document(*this, std::move(d), h);
+    }
+    void on_end(statement::EngineCall&, statement::CallEnd end) override { front.on_end(*this, end); }
+
+    Front& front;
+    Running& running;
+    int number;
+    EngineId engine;
+    std::unique_ptr<statement::EngineCall> call;
+    Micros sent = 0;
+    net::TimerId timer = 0;
+    bool over = false, ever_ran = false;
+    decide::Seen seen;
+    statement::Stats stats;
+    std::string columns;
+    std::optional<Report> report;
+};
+
+struct Front::Running {
+    std::string id;
+    statement::Submission submission;
+    decide::Routed routed;
+    std::string user;
+    Micros arrived = 0, deadline = 0, first_sent = 0, ended_at = 0;
+    std::vector<std::unique_ptr<Attempt>> attempts;
+    double grant_mb = 0;
+    int priority = 1;
+    bool answered = false;  // the final document is in the server side's hands
+    bool rows_out = false;  // the first row has gone to the client
+    bool closed = false;    // the client has its final document, or has left
+    Ended ended = Ended::failed;
+    Outcome last = Outcome::skipped;
+    std::string last_error, last_engine;
+    statement::Stats stats;
+
+    Attempt* out() {
+        return attempts.empty() || attempts.back()->over ? nullptr : attempts.back().get();
+    }
+};
+
+Front::Front(net::Loop& loop, config::FrontSettings settings, Deps deps)
+    : loop_(loop), settings_(std::move(settings)), deps_(std::move(deps)),
+      router_(settings_.routes, tenant_names(settings_.module)), holding_(settings_.holding), metrics_(settings_.module),
+      brain_(loop.now(), deps_.seed, settings_.module),
+      engines_(loop, settings_, {[this](ListChange c) { post(std::move(c)); }, [this](const std::string& t) { deps_.log(t); }}),
+      statements_(loop, settings_.statements, *this, deps_.entropy),
+      server_(loop, settings_.server, [this](http::Request& r, http::Server::Reply reply) { handle(r, std::move(reply)); }) {}
+
+Front::~Front() {
+    loop_.cancel(drain_timer_);
+    loop_.cancel(free_timer_);
+    for (const auto& [name, timer] : bells_) loop_.cancel(timer);
+}
+
+Result<std::vector<net::Address>> Front::start() {
+    std::vector<net::Address> bound;
+    for (const auto& at : settings_.listen) {
+        auto address = server_.listen(at);
+        if (!address) return Error{address.error()};
+        bound.push_back(*address);
+    }
+    for (const Action& action : brain_.start()) carry_out(action);
+    engines_.start();
+    return bound;
+}
+
+void Front::handle(http::Request& request, http::Server::Reply reply) {
+    if (statements_.handle(request, reply)) return;
+    if (request.target == "/metrics" && request.method == "GET") {
+        http::Response r{200, {}, metrics_.page({static_cast<double>(running_.size()), static_cast<double>(statements_.waiting_in_all()),
+                                                 static_cast<double>(server_.connections()), brain_.alpha(),
+                                                 static_cast<double>(statements_.kept())})};
+        r.headers.add("Content-Type", "text/plain; version=0.0.4");
+        return reply.send(r);
+    }
+    reply.send(statement::text_response(404, "no such path; statements go to POST /v1/statement"));
+}
+
+// ---- Statements come and go
+
+Front::Running* Front::find(const std::string& id) {
+    const auto found = running_.find(id);
+    return found == running_.end() ? nullptr : found->second.get();
+}
+
+std::optional<http::Response> Front::submit(const std::string& id, statement::Submission s) {
+    const auto turned_away = [&](int status, const char* why, const std::string& text) {
+        metrics_.turned_away(why);
+        auto r = statement::text_response(status, text);
+        if (status == 429 || status == 503) r.headers.add("Retry-After", retry_after(settings_.holding.come_back));
+        return r;
+    };
+    if (draining_) return turned_away(503, "draining", "this front is shutting down: ask another one");
+    const auto& c = s.context;
+    auto routed = router_.route({c.user, c.source, c.catalog, c.schema, c.trace_token, c.tags});
+    if (!routed)
+        return turned_away(400, "no_route", "no route takes this statement: user '" + c.user + "', source '" + c.source + "'");
+    switch (holding_.admit(c.user, s.sql.size())) {
+        case decide::Admission::taken: break;
+        case decide::Admission::front_full: return turned_away(429, "front_full", "too many statements at this front");
+        case decide::Admission::user_full: return turned_away(429, "user_full", "too many statements of this user");
+        case decide::Admission::too_long: return turned_away(413, "too_long", "a statement of over " + std::to_string(settings_.holding.statement_bytes) + " bytes");
+    }
+    const auto& classes = settings_.module.classes;
+    const auto cls = std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == routed->cls; });
+    auto r = std::make_unique<Running>();
+    r->id = id, r->routed = std::move(*routed), r->user = c.user, r->arrived = loop_.now();
+    const Micros left = c.run_limit > 0 ? std::min(c.run_limit, cls->deadline) : cls->deadline;
+    r->deadline = r->arrived + left;
+    Demand d{id, r->routed.cls, r->routed.tenant, r->routed.key, left, std::nullopt, c.memory_estimate / kMega, r->routed.group, false};
+    if (c.cpu_estimate > 0) d.cost = c.cpu_estimate;
+    r->submission = std::move(s);
+    metrics_.taken(r->routed.cls);
+    running_.emplace(id, std::move(r));
+    post(std::move(d));
+    return std::nullopt;
+}
+
+void Front::left(const std::string& id, statement::Left how) {
+    Running* r = find(id);
+    if (!r || r->closed) return;
+    // Where the answer waited unfetched, the work was done all the same: the record says who ended it.
+    r->ended = how == statement::Left::abandoned ? Ended::abandoned : Ended::cancelled;
+    if (r->ended_at == 0) r->ended_at = loop_.now();
+    r->answered = true;
+    post(Gone{id});
+    // The module calls off what it may; a stream that had begun is nobody's any more, and ends here.
+    if (Attempt* a = r->out(); a && settings_.module.may_cancel) {
+        a->call->cancel();
+        complete(*a, Outcome::ecanceled, true);
+    }
+    final_given(id);
+}
+
+void Front::rows_going_out(const std::string& id) {
+    Running* r = find(id);
+    if (!r) return;
+    r->rows_out = true;
+    if (Attempt* a = r->out()) post(Begun{id, a->number});
+}
+
+void Front::room(const std::string& id) {
+    Running* r = find(id);
+    if (!r) return;
+    if (Attempt* a = r->out()) ask_on(*a);
+}
+
+// The client has its final document, or has left. What is known is written down; the rest is freed once no attempt is
+// out any more.
+void Front::final_given(const std::string& id) {
+    Running* r = find(id);
+    if (!r || std::exchange(r->closed, true)) return;
+    holding_.finished(r->user);
+    const Micros now = loop_.now(), ended = r->ended_at > 0 ? r->ended_at : now;
+    Finished f{id, r->submission.context.trace_token, r->user, r->routed.cls, r->routed.tenant, r->last_engine, r->last_error,
+               static_cast<int>(r->attempts.size()), r->ended, (r->first_sent > 0 ? r->first_sent : ended) - r->arrived,
+               r->first_sent > 0 ? ended - r->first_sent : 0, now - ended, now - r->arrived, r->stats.cpu_ms,
+               r->stats.peak_memory_bytes, r->stats.spilled_bytes};
+    metrics_.finished(f);
+    if (deps_.finished) deps_.finished(f);
+    if (!r->out()) free_later(id);
+}
+
+// Not at once: the calls that led here still stand on the statement.
+void Front::free_later(const std::string& id) {
+    to_free_.push_back(id);
+    if (free_timer_ != 0) return;
+    free_timer_ = loop_.after(0, [this] {
+        free_timer_ = 0;
+        for (const auto& done : std::exchange(to_free_, {})) running_.erase(done);
+    });
+}
+
+statement::Stats Front::progress(const std::string& id) {
+    Running* r = find(id);
+    if (!r) return {};
+    statement::Stats s = r->stats;
+    Attempt* a = r->out();
+    if (!a) s.state = "QUEUED", s.queued = true;
+    s.elapsed_ms = (loop_.now() - r->arrived) / kMillisecond;
+    s.queued_ms = ((r->first_sent > 0 ? r->first_sent : loop_.now()) - r->arrived) / kMillisecond;
+    return s;
+}
+
+std::string Front::status_members() {
+    return ",\"statements\":" + std::to_string(running_.size()) + ",\"waitingBytes\":" + std::to_string(statements_.waiting_in_all()) +
+           ",\"connections\":" + std::to_string(server_.connections()) + ",\"alpha\":" + std::to_string(brain_.alpha());
+}
+
+// ---- Events of the module, and its actions
+
+// Events that come up while actions are carried out wait for their turn, so that the module sees them in order.
+void Front::post(Event event) {
+    events_.push_back(std::move(event));
+    if (std::exchange(posting_, true)) return;
+    while (!events_.empty()) {
+        const Event next = std::move(events_.front());
+        events_.pop_front();
+        for (const Action& action : brain_.handle(loop_.now(), next)) carry_out(action);
+    }
+    posting_ = false;
+}
+
+void Front::carry_out(const Action& action) {
+    std::visit(
+        Overloaded{
+            [&](const Send& a) { send(a); },
+            [&](const Terms& a) {
+                // An attempt that is out keeps its priority: the statement API has no way to change it.
+                if (Running* r = find(a.id)) {
+                    if (a.grant_mb > 0) r->grant_mb = a.grant_mb;
+                    r->priority = a.priority;
+                }
+            },
+            [&](const Refuse& a) {
+                Running* r = find(a.id);
+                if (!r || r->answered) return;
+                statement::Document d;
+                d.stats = r->stats;
+                d.stats.state = "FAILED";
+                d.error = statement::error_named("QUERY_QUEUE_FULL", "refused, trying again is harmless" +
+                                                                         (r->last_error.empty() ? std::string(": no engine has room in time")
+                                                                                                : ": " + r->last_error));
+                answer_finally(*r, std::move(d), Ended::refused, a.come_back);
+            },
+            [&](const Fail& a) {
+                Running* r = find(a.id);
+                if (!r || r->answered) return;
+                statement::Document d;
+                d.stats = r->stats;
+                d.stats.state = "FAILED";
+                const bool late = r->last == Outcome::etimedout || loop_.now() + kNearDeadline >= r->deadline;
+                const char* name = late ? "EXCEEDED_TIME_LIMIT" : r->last == Outcome::econnreset ? "REMOTE_HOST_GONE" : "GENERIC_INTERNAL_ERROR";
+                d.error = statement::error_named(name, "it may have run" + (r->last_error.empty() ? "" : ": " + r->last_error));
+                answer_finally(*r, std::move(d), Ended::failed, 0);
+            },
+            [&](const Cancel& a) {
+                Running* r = find(a.id);
+                if (!r || a.attempt < 0 || a.attempt >= static_cast<int>(r->attempts.size())) return;
+                Attempt& attempt = *r->attempts[static_cast<std::size_t>(a.attempt)];
+                if (attempt.over || r->rows_out) return;  // a stream that has begun is not called off
+                attempt.call->cancel();
+                complete(attempt, Outcome::ecanceled, r->answered);
+            },
+            [&](const Probe& a) {
+                engines_.probe(a.engine, [this, id = a.engine](Micros taken, Outcome how, std::optional<Report> report) {
+                    post(Probed{id, taken, how, report});
+                });
+            },
+            [&](const Tell&) {},  // no peers here: the settings never allow it
+            [&](const Observe&) { engines_.ask(); },
+            [&](const SetTimer& a) {
+                const std::int64_t key = ++last_bell_;
+                bells_[key] = loop_.after(a.delay, [this, key, name = a.name] {
+                    bells_.erase(key);
+                    post(Bell{name});
+                });
+            }},
+        action);
+}
+
+void Front::send(const Send& action) {
+    Running* r = find(action.id);
+    if (!r) return;
+    r->attempts.push_back(std::make_unique<Attempt>(*this, *r, static_cast<int>(r->attempts.size()), action.engine));
+    Attempt& a = *r->attempts.back();
+    a.sent = loop_.now();
+    if (r->first_sent == 0) r->first_sent = a.sent;
+    Engine* engine = engines_.find(action.engine);
+    if (r->answered || r->rows_out || !engine) return complete(a, r->answered || r->rows_out ? Outcome::skipped : Outcome::econnrefused, r->answered);
+    r->last_engine = engine->settings.name;
+    const Micros limit = action.time_out > 0 ? std::min(action.time_out, r->deadline - a.sent) : r->deadline - a.sent;
+    // The engine stops by itself at the deadline, whatever becomes of this front.
+    std::map<std::string, std::string> set{{"query_max_run_time", session_span(limit)}};
+    if (r->grant_mb > 0) set["query_max_memory"] = std::to_string(std::llround(r->grant_mb)) + "MB";
+    if (settings_.module.priorities) set["query_priority"] = std::to_string(r->priority);
+    auto headers = statement::engine_headers(r->submission.context, set);
+    headers.add("User-Agent", "gatetiller/" + settings_.name);
+    a.timer = loop_.after(limit, [this, &a] {
+        a.timer = 0;
+        if (a.over || a.running.rows_out) return;
+        a.call->cancel();
+        a.running.last_error = "no answer in time";
+        complete(a, Outcome::etimedout, a.running.answered);
+    });
+    a.call = std::make_unique<statement::EngineCall>(loop_, *engine->client, settings_.calls, a);
+    a.call->start(std::move(headers), r->submission.sql);
+}
+
+void Front::answer_finally(Running& r, statement::Document document, Ended ended, Micros come_back) {
+    r.answered = true;
+    r.ended = ended;
+    r.ended_at = loop_.now();
+    http::Headers headers;
+    if (come_back > 0) headers.add("Retry-After", retry_after(come_back));
+    document.next_uri.clear();
+    statements_.push(r.id, std::move(document), std::move(headers));
+}
+
+void Front::complete(Attempt& a, Outcome outcome, bool finished) {
+    if (std::exchange(a.over, true)) return;
+    loop_.cancel(std::exchange(a.timer, 0));
+    Running& r = a.running;
+    r.last = outcome;
+    metrics_.attempt(outcome);
+    Completed c{r.id, a.number, a.engine, outcome, loop_.now() - a.sent, finished, 0, 0, a.report};
+    if (outcome == Outcome::done && settings_.module.cost_in_answers) {
+        c.work_ms = static_cast<double>(a.stats.cpu_ms);
+        c.needed_mb = static_cast<double>(a.stats.peak_memory_bytes) / kMega;
+    }
+    post(std::move(c));
+    if (r.closed) free_later(r.id);
+}
+
+// ---- What engines answer
+
+void Front::on_document(Attempt& a, statement::Document d, const http::Headers& headers) {
+    Running& r = a.running;
+    if (a.over) return;
+    if (auto report = statement::read_report(headers)) a.report = report;
+    a.stats = r.stats = d.stats;
+    a.ever_ran = a.ever_ran || d.stats.cpu_ms > 0 || d.has_rows() || d.stats.state == "RUNNING" || d.stats.state == "FINISHING";
+    if (!d.columns.empty()) a.columns = d.columns;
+    if (d.final()) {
+        decide::AttemptEnd how;
+        how.ever_ran = a.ever_ran;
+        if (d.error) how.has_error = true, how.error_type = d.error->type, how.error_name = d.error->name;
+        return end_attempt(a, how, std::move(d), headers);
+    }
+    const decide::Seen now{d.stats.progress, d.stats.queued, d.stats.scheduled, d.stats.queued_splits, d.stats.running_splits, d.stats.spilled_bytes};
+    const auto told = decide::notes_of(a.seen, now);
+    a.seen = now;
+    for (const auto& note : told) {
+        post(Note{r.id, a.number, a.engine, note.topic, note.value});
+        if (a.over) return;  // the module called it off
+    }
+    if (d.has_rows()) {
+        if (d.columns.empty()) d.columns = a.columns;
+        http::Headers passed;
+        statement::pass_response_headers(headers, passed);
+        statements_.push(r.id, std::move(d), std::move(passed));
+        if (a.over) return;
+    }
+    ask_on(a);
+}
+
+void Front::ask_on(Attempt& a) {
+    if (holding_.may_ask_on(statements_.waiting_bytes(a.running.id), statements_.waiting_in_all())) a.call->next();
+}
+
+void Front::on_end(Attempt& a, const statement::CallEnd& end) {
+    if (a.over) return;
+    using How = decide::AttemptEnd::How;
+    using Call = statement::CallEnd::How;
+    decide::AttemptEnd how;
+    how.how = end.how == Call::not_sent       ? How::not_sent
+              : end.how == Call::connect_late ? How::connect_late
+              : end.how == Call::turned_away  ? How::turned_away
+              : end.how == Call::late         ? How::late
+                                              : How::lost;
+    how.status = end.status;
+    statement::Document d;
+    d.stats = a.stats;
+    d.stats.state = "FAILED";
+    const std::string engine = a.running.last_engine;
+    d.error = statement::error_named("REMOTE_HOST_GONE", "engine " + engine + ": " + end.text);
+    end_attempt(a, how, std::move(d), {});
+}
+
+void Front::end_attempt(Attempt& a, decide::AttemptEnd how, statement::Document d, const http::Headers& headers) {
+    Running& r = a.running;
+    const auto verdict = decide::judge(how);
+    if (d.error) r.last_error = d.error->message;
+    if (verdict.for_client && !r.answered) {
+        if (d.columns.empty()) d.columns = a.columns;
+        r.answered = true, r.ended = Ended::served, r.ended_at = loop_.now();
+        complete(a, verdict.outcome, true);
+        http::Headers passed;
+        statement::pass_response_headers(headers, passed);
+        statements_.push(r.id, std::move(d), std::move(passed));
+    } else if (r.rows_out && !r.answered) {
+        // Rows have gone out: nothing is tried again, and the client learns that what it has is not whole.
+        if (!d.error) d.error = statement::error_named("REMOTE_HOST_GONE", "the engine failed after the first rows");
+        r.answered = true, r.ended = Ended::cut, r.ended_at = loop_.now();
+        complete(a, verdict.outcome, true);
+        d.data.clear(), d.next_uri.clear();
+        statements_.push(r.id, std::move(d));
+    } else {
+        // Rows that wait unfetched are of an attempt that failed: another one brings its own.
+        if (!r.answered) statements_.drop_waiting(r.id);
+        complete(a, verdict.outcome, r.answered);
+    }
+}
+
+// ---- Operating it
+
+void Front::reload(const config::FrontSettings& s) {
+    settings_.routes = s.routes;
+    router_ = decide::Router(s.routes, tenant_names(settings_.module));
+    engines_.reload(s);
+}
+
+void Front::drain(std::function<void()> done) {
+    if (done && drain_over_) return done();
+    if (done) drained_ = std::move(done);
+    if (std::exchange(draining_, true)) return;
+    statements_.draining = true;
+    deps_.log("draining: " + std::to_string(running_.size()) + " statements in hand");
+    const Micros until = loop_.now() + settings_.drain_patience;
+    // Clients may poll on new connections, so the door stays open until all are done.
+    const auto look = [this, until](auto self) -> void {
+        if (!running_.empty() && loop_.now() < until) {
+            drain_timer_ = loop_.after(kDrainLook, [self] { self(self); });
+            return;
+        }
+        drain_timer_ = loop_.after(kLastPolls, [this] { finish_drain(); });
+    };
+    look(look);
+}
+
+void Front::finish_drain() {
+    drain_over_ = true;
+    server_.drain();
+    deps_.log("drained: " + std::to_string(running_.size()) + " statements left behind");
+    if (drained_) drained_();
+}
+
+}  // namespace gatetiller::front
--- /dev/null
+++ b/src/front/front.hpp
@@ -0,0 +1,92 @@
+// front: the running front. Statements come in from the statement API's server side; what happens becomes events of the
+// module, and each action that the module returns is carried out exactly. It decides nothing by itself: what the
+// module leaves open (classes, limits, what an engine's answer means) is asked of src/decide.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "decide/attempt_end.hpp"
+#include "decide/notes.hpp"
+#include "front/engines.hpp"
+#include "front/metrics.hpp"
+
+namespace gatetiller::front {
+
+struct Deps {
+    std::function<std::string()> entropy;             // 32 hex digits that nobody can guess
+    std::uint64_t seed = 1;                           // of the module
+    std::function<void(const std::string&)> log;      // what an operator reads
+    std::function<void(const Finished&)> finished;    // one call for each finished statement
+};
+
+class Front final : public statement::Backend {
+public:
+    Front(net::Loop& loop, config::FrontSettings settings, Deps deps);
+    ~Front() override;
+    Front(const Front&) = delete;
+    Front& operator=(const Front&) = delete;
+
+    // Begins to listen. The addresses, with the ports that the kernel chose.
+    Result<std::vector<net::Address>> start();
+    // Takes nothing new, ends what it has; `done` once all is over, or the patience of the settings is.
+    void drain(std::function<void()> done);
+    // Engines, roster and routes of new settings; the rest needs a restart.
+    void reload(const config::FrontSettings& settings);
+    double alpha() const { return brain_.alpha(); }
+    std::size_t statements() const { return running_.size(); }
+    Engines& engines() { return engines_; }
+
+    // The statement API asks these.
+    std::optional<http::Response> submit(const std::string& id, statement::Submission submission) override;
+    void left(const std::string& id, statement::Left how) override;
+    void rows_going_out(const std::string& id) override;
+    void room(const std::string& id) override;
+    void final_given(const std::string& id) override;
+    statement::Stats progress(const std::string& id) override;
+    void drain() override { drain(nullptr); }
+    std::string status_members() override;
+    void decorate(http::Response&) override {}
+
+private:
+    struct Running;
+    struct Attempt;
+
+    void handle(http::Request& request, http::Server::Reply reply);
+    void post(Event event);
+    void carry_out(const Action& action);
+    void send(const Send& action);
+    void answer_finally(Running& r, statement::Document document, Ended ended, Micros come_back);
+    void complete(Attempt& a, Outcome outcome, bool finished);
+    void on_document(Attempt& a, statement::Document document, const http::Headers& headers);
+    void on_end(Attempt& a, const statement::CallEnd& end);
+    void end_attempt(Attempt& a, decide::AttemptEnd how, statement::Document answer, const http::Headers& headers);
+    void ask_on(Attempt& a);
+    void free_later(const std::string& id);
+    void finish_drain();
+    Running* find(const std::string& id);
+
+    net::Loop& loop_;
+    config::FrontSettings settings_;
+    Deps deps_;
+    decide::Router router_;
+    decide::Holding holding_;
+    Metrics metrics_;
+    Brain brain_;
+    Engines engines_;
+    statement::ServerSide statements_;
+    http::Server server_;
+    std::unordered_map<std::string, std::unique_ptr<Running>> running_;
+    std::deque<Event> events_;
+    std::vector<std::string> to_free_;
+    bool posting_ = false, draining_ = false, drain_over_ = false;
+    std::function<void()> drained_;
+    net::TimerId drain_timer_ = 0, free_timer_ = 0;
+    std::map<std::int64_t, net::TimerId> bells_;
+    std::int64_t last_bell_ = 0;
+};
+
+}  // namespace gatetiller::front
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,111 @@
+#include "http/client.hpp"
+
+namespace gatetiller::http {
+
+struct Client::Connection final : net::StreamEvents, std::enable_shared_from_this<Connection> {
+    Connection(Client& c) : client(c), parser(Parser::Kind::response, c.options_.limits) {}
+    ~Connection() override { client.loop_.cancel(timer); }
+
+    void begin(std::string bytes, bool head, Micros time_out, Done call) {
+        parser.reset(head);
+        answers_head = head;
+        ++serial;
+        done = std::move(call);
+        client.loop_.cancel(std::exchange(timer, 0));
+        if (time_out > 0)
+            timer = client.loop_.after(time_out, [this] {
+                timer = 0;
+                fail(connected ? Reached::late : Reached::connect_late, "no answer in time");
+            });
+        stream->send(std::move(bytes));
+    }
+    void on_connected() override { connected = true; }
+    void on_data(Buffer& in) override {
+        if (!done) return drop();  // bytes that nobody asked for
+        if (!parser.feed(in)) return;
+        if (parser.failed()) return fail(Reached::broken, "an answer that can't be read: " + parser.error());
+        if (parser.response().status < 200) {  // 100 Continue and its like
+            parser.reset(answers_head);
+            if (!in.empty()) stream->offer();
+            return;
+        }
+        finish(parser.keep_alive() && in.empty());
+    }
+    void on_closed(net::Closed how) override {
+        if (!done) return drop();
+        if (how == net::Closed::refused) return fail(Reached::never_sent, "connection refused");
+        if (how == net::Closed::too_late) return fail(Reached::connect_late, "no connection in time");
+        if (how == net::Closed::by_peer && parser.end_of_input() && parser.done()) return finish(false);
+        fail(Reached::broken, "the connection ended before the answer");
+    }
+    void finish(bool keep) {
+        const auto self = shared_from_this();
+        client.loop_.cancel(std::exchange(timer, 0));
+        const auto call = std::exchange(done, nullptr);
+        Answer answer{Reached::answered, std::move(parser.response()), {}};
+        if (keep && client.idle_.size() < client.options_.idle_connections) {
+            client.idle_.push_back(self);
+            timer = client.loop_.after(client.options_.idle_time_out, [this] { timer = 0, drop(); });
+        } else {
+            drop();
+        }
+        call(std::move(answer));
+    }
+    void fail(Reached how, std::string what) {
+        const auto self = shared_from_this();
+        const auto call = std::exchange(done, nullptr);
+        drop();
+        if (call) call({how, {}, std::move(what)});
+    }
+    void drop() {
+        const auto self = shared_from_this();
+        client.loop_.cancel(std::exchange(timer, 0));
+        stream.reset();
+        done = nullptr;
+        std::erase(client.idle_, self);
+        std::erase(client.all_, self);
+    }
+
+    Client& client;
+    std::unique_ptr<net::Stream> stream;
+    Parser parser;
+    bool connected = false, answers_head = false;
+    std::uint64_t serial = 0;  // which call of this connection is in flight
+    net::TimerId timer = 0;
+    Done done;
+};
+
+void Client::Call::cancel() {
+    if (active()) of_.lock()->drop();
+    of_.reset();
+}
+
+bool Client::Call::active() const {
+    const auto c = of_.lock();
+    return c && c->serial == serial_ && c->done;
+}
+
+Client::Client(net::Loop& loop, net::Address server, ClientOptions options)
+    : loop_(loop), server_(std::move(server)), host_(server_.text()), options_(options) {
+    if (server_.family == net::Address::Family::local) host_ = "localhost";
+}
+
+Client::~Client() {
+    for (auto& c : all_) c->done = nullptr, c->stream.reset();
+}
+
+Client::Call Client::send(const Request& request, Micros time_out, Done done) {
+    std::shared_ptr<Connection> c;
+    if (!idle_.empty()) {
+        c = std::move(idle_.back());  // the one used last: least likely to be closed by the server just now
+        idle_.pop_back();
+    } else {
+        c = std::make_shared<Connection>(*this);
+        all_.push_back(c);
+        c->stream = loop_.connect(server_, *c, options_.connect_time_out);
+    }
+    c->begin(write(request, host_), request.method == "HEAD", time_out, std::move(done));
+    return Call(c, c->serial);
+}
+
+}  // namespace gatetiller::http
--- /dev/null
+++ b/src/net/loop.hpp
@@ -0,0 +1,85 @@
+// net: the event loop as the rest of the program sees it: time, timers, listening, connecting and streams of bytes.
+// `PollLoop` (poll_loop.hpp) is the real one, on poll(2); a virtual network can stand in its place.
+//
+// Everything runs on the loop's thread. Nothing here blocks and nothing throws. Whoever holds a Stream or a
+// Listener owns it: destroying it closes it at once, without a further call, and that is allowed anywhere, in its
+// own callbacks too.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/buffer.hpp"
+#include "base/result.hpp"
+#include "base/time.hpp"
+
+namespace gatetiller::net {
+
+// Where something listens: "127.0.0.1:8080", "[::1]:8080", "localhost:8080", "unix:/run/x.sock". Names other than
+// localhost are not looked up: a look-up would hold up the loop.
+struct Address {
+    enum class Family { ipv4, ipv6, local };
+    Family family = Family::ipv4;
+    std::string host;        // a number, or the path of a Unix socket
+    std::uint16_t port = 0;  // 0 when listening: the kernel chooses
+
+    static Result<Address> parse(std::string_view text);
+    std::string text() const;
+    friend bool operator==(const Address&, const Address&) = default;
+};
+
+enum class Closed {
+    by_peer,   // the peer ended it in order
+    reset,     // the connection broke; what was sent may have arrived
+    refused,   // nothing was sent: no connection came about (refused, unreachable)
+    too_late,  // nothing was sent: no connection came about in time
+};
+
+class StreamEvents {
+public:
+    virtual ~StreamEvents() = default;
+    virtual void on_connected() {}
+    // Take from `in` what can be used. What is left is offered again along with more.
+    virtual void on_data(Buffer& in) = 0;
+    virtual void on_sent() {}  // all that was given to send() has gone to the kernel
+    virtual void on_closed(Closed how) = 0;  // the last call
+};
+
+class Stream {
+public:
+    virtual ~Stream() = default;
+    virtual void events(StreamEvents& to) = 0;  // who is told; must outlive the stream
+    virtual void send(std::string bytes) = 0;   // kept until the kernel takes it; look at unsent() for back-pressure
+    virtual std::size_t unsent() const = 0;     // bytes not yet taken by the kernel
+    // Off: bytes stay in the kernel's buffer and hold back the peer. An end of the connection is then noticed only
+    // where the kernel tells of a reset.
+    virtual void read(bool on) = 0;
+    virtual void offer() = 0;                    // calls on_data once more soon, if bytes wait
+    virtual const std::string& peer() const = 0;  // address of the other side, for logs and limits
+};
+
+class Listener {
+public:
+    virtual ~Listener() = default;
+    virtual const Address& address() const = 0;  // with the port that the kernel chose
+};
+
+using TimerId = std::uint64_t;  // 0: none
+
+class Loop {
+public:
+    virtual ~Loop() = default;
+    virtual Micros now() const = 0;   // monotonic; a step of the wall clock doesn't show
+    virtual Micros wall() const = 0;  // since 1970, for records and logs only
+    virtual TimerId after(Micros delay, std::function<void()> call) = 0;
+    virtual void cancel(TimerId timer) = 0;  // 0 and ids that have rung are passed over
+    virtual Result<std::unique_ptr<Listener>> listen(
+        const Address& at, std::function<void(std::unique_ptr<Stream>)> accepted) = 0;
+    // Never fails at once: what goes wrong comes as on_closed in a later turn. `time_out` is for connecting only.
+    virtual std::unique_ptr<Stream> connect(const Address& to, StreamEvents& events, Micros time_out) = 0;
+};
+
+}  // namespace gatetiller::net
--- /dev/null
+++ b/src/statement/document.cpp
@@ -0,0 +1,159 @@
+#include "statement/document.hpp"
+
+#include "base/text.hpp"
+#include "statement/json.hpp"
+
+namespace gatetiller::statement {
+namespace {
+
+std::int64_t whole(std::string_view raw) {
+    if (const auto n = to_number<std::int64_t>(raw)) return *n;
+    const auto d = to_number<double>(raw);  // written with a fraction or an exponent
+    return d && *d > -9e18 && *d < 9e18 ? static_cast<std::int64_t>(*d) : 0;
+}
+
+constexpr std::pair<const char*, std::int64_t Stats::*> kNumbers[] = {
+    {"nodes", &Stats::nodes},
+    {"totalSplits", &Stats::total_splits},
+    {"queuedSplits", &Stats::queued_splits},
+    {"runningSplits", &Stats::running_splits},
+    {"completedSplits", &Stats::completed_splits},
+    {"cpuTimeMillis", &Stats::cpu_ms},
+    {"wallTimeMillis", &Stats::wall_ms},
+    {"queuedTimeMillis", &Stats::queued_ms},
+    {"elapsedTimeMillis", &Stats::elapsed_ms},
+    {"processedRows", &Stats::rows},
+    {"processedBytes", &Stats::bytes},
+    {"physicalInputBytes", &Stats::input_bytes},
+    {"peakMemoryBytes", &Stats::peak_memory_bytes},
+    {"spilledBytes", &Stats::spilled_bytes}};
+
+Result<Stats> read_stats(std::string_view raw) {
+    auto found = members(raw);
+    if (!found) return Error{"stats: " + found.error()};
+    Stats s;
+    for (const Member& m : *found) {
+        if (m.key == "state") s.state = as_string(m.raw).value_or("");
+        else if (m.key == "queued") s.queued = m.raw == "true";
+        else if (m.key == "scheduled") s.scheduled = m.raw == "true";
+        else if (m.key == "progressPercentage") s.progress = to_number<double>(m.raw).value_or(0);
+        for (const auto& [key, member] : kNumbers)
+            if (m.key == key) s.*member = whole(m.raw);
+    }
+    return s;
+}
+
+Result<StatementError> read_error(std::string_view raw) {
+    auto found = members(raw);
+    if (!found) return Error{"error: " + found.error()};
+    StatementError e;
+    for (const Member& m : *found) {
+        if (m.key == "message") e.message = as_string(m.raw).value_or("");
+        else if (m.key == "errorCode") e.code = whole(m.raw);
+        else if (m.key == "errorName") e.name = as_string(m.raw).value_or("");
+        else if (m.key == "errorType") e.type = as_string(m.raw).value_or("");
+    }
+    return e;
+}
+
+}  // namespace
+
+Result<Document> read_document(std::string_view text) {
+    auto found = members(text);
+    if (!found) return Error{found.error()};
+    Document d;
+    for (const Member& m : *found) {
+        if (m.raw == "null") continue;  // absent, to be generous
+        const auto string_into = [&](std::string& to) {
+            if (auto s = as_string(m.raw)) to = std::move(*s);
+        };
+        if (m.key == "id") string_into(d.id);
+        else if (m.key == "infoUri") string_into(d.info_uri);
+        else if (m.key == "nextUri") string_into(d.next_uri);
+        else if (m.key == "partialCancelUri") string_into(d.partial_cancel_uri);
+        else if (m.key == "columns") d.columns = m.raw;
+        else if (m.key == "data") d.data = m.raw;
+        else if (m.key == "warnings") d.warnings = m.raw;
+        else if (m.key == "updateType") string_into(d.update_type);
+        else if (m.key == "updateCount") d.update_count = m.raw;
+        else if (m.key == "stats") {
+            auto stats = read_stats(m.raw);
+            if (!stats) return Error{stats.error()};
+            d.stats = std::move(*stats);
+            d.stats_text = m.raw;
+        } else if (m.key == "error") {
+            auto error = read_error(m.raw);
+            if (!error) return Error{error.error()};
+            d.error = std::move(*error);
+            d.error_text = m.raw;
+        }
+    }
+    if (d.id.empty()) return Error{"a document without id"};
+    if (!d.data.empty() && d.data.front() != '[') return Error{"data that is not an array"};
+    return d;
+}
+
+std::string write_stats(const Stats& s) {
+    std::string out = "{\"state\":" + json_string(s.state) + ",\"queued\":" + (s.queued ? "true" : "false") +
+                      ",\"scheduled\":" + (s.scheduled ? "true" : "false") +
+                      ",\"progressPercentage\":" + std::to_string(s.progress);
+    for (const auto& [key, member] : kNumbers)
+        out.append(",\"").append(key).append("\":").append(std::to_string(s.*member));
+    return out += '}';
+}
+
+std::string write_document(const Document& d) {
+    std::string out;
+    out.reserve(600 + d.held_bytes());
+    out.append("{\"id\":").append(json_string(d.id));
+    const auto text = [&](const char* key, const std::string& value) {
+        if (!value.empty()) out.append(",\"").append(key).append("\":").append(json_string(value));
+    };
+    const auto raw = [&](const char* key, const std::string& value) {
+        if (!value.empty()) out.append(",\"").append(key).append("\":").append(value);
+    };
+    text("infoUri", d.info_uri);
+    text("nextUri", d.next_uri);
+    text("partialCancelUri", d.partial_cancel_uri);
+    raw("columns", d.columns);
+    raw("data", d.data);
+    raw("stats", d.stats_text.empty() ? write_stats(d.stats) : d.stats_text);
+    if (!d.error_text.empty()) {
+        raw("error", d.error_text);
+    } else if (d.error) {
+        const StatementError& e = *d.error;
+        out.append(",\"error\":{\"message\":").append(json_string(e.message)).append(",\"errorCode\":")
+            .append(std::to_string(e.code)).append(",\"errorName\":").append(json_string(e.name))
+            .append(",\"errorType\":").append(json_string(e.type)).append(",\"failureInfo\":{\"type\":")
+            .append(json_string("gatetiller." + e.name)).append(",\"message\":").append(json_string(e.message))
+            .append(",\"suppressed\":[],\"stack\":[]}}");
+    }
+    raw("warnings", d.warnings.empty() ? "[]" : d.warnings);
+    text("updateType", d.update_type);
+    raw("updateCount", d.update_count);
+    return out += '}';
+}
+
+StatementError error_named(std::string_view name, std::string message) {
+    struct Known {
+        std::string_view name, type;
+        std::int64_t code;
+    };
+    // From the public table of standard error codes: user errors from 0, internal ones from 65536, shortage from
+    // 131072.
+    constexpr Known kKnown[] = {{"USER_CANCELED", "USER_ERROR", 3},
+                                {"ABANDONED_QUERY", "USER_ERROR", 8},
+                                {"GENERIC_USER_ERROR", "USER_ERROR", 0},
+                                {"SYNTAX_ERROR", "USER_ERROR", 1},
+                                {"GENERIC_INTERNAL_ERROR", "INTERNAL_ERROR", 65536},
+                                {"NO_NODES_AVAILABLE", "INSUFFICIENT_RESOURCES", 65540},
+                                {"REMOTE_HOST_GONE", "INTERNAL_ERROR", 65544},
+                                {"SERVER_SHUTTING_DOWN", "INTERNAL_ERROR", 65548},
+                                {"QUERY_QUEUE_FULL", "INSUFFICIENT_RESOURCES", 131074},
+                                {"EXCEEDED_TIME_LIMIT", "INSUFFICIENT_RESOURCES", 131075}};
+    for (const Known& k : kKnown)
+        if (k.name == name) return {std::move(message), std::string(name), std::string(k.type), k.code};
+    return {std::move(message), "GENERIC_INTERNAL_ERROR", "INTERNAL_ERROR", 65536};
+}
+
+}  // namespace gatetiller::statement
--- /dev/null
+++ b/src/statement/load_report.hpp
@@ -0,0 +1,17 @@
+// What an engine says of its load, in a header of its own on any answer: comma-separated name=value parts. Engines that
+// don't send it are simply not heard of.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "http/message.hpp"
+#include "policy/brain.hpp"
+
+namespace gatetiller::statement {
+
+constexpr std::string_view kLoadHeader = "X-Gatetiller-Load";
+std::optional<Report> read_report(const http::Headers& headers);
+std::string write_report(const Report& report);
+
+}  // namespace gatetiller::statement
--- /dev/null
+++ b/tests/front/hard_cases_test.cpp
@@ -0,0 +1,225 @@
+// The hard cases of a polled front, each over real sockets with the fault that it is about.
+#include "front/whole.hpp"
+#include "statement/json.hpp"
+
+namespace gatetiller::testing {
+namespace {
+
+using engine::Faults;
+
+std::string row(const std::string& sql, std::size_t i, const std::string& pad = "") {
+    return "[" + std::to_string(i) + ",\"" + engine::row_of(sql, i) + pad + "\"]";
+}
+
+TEST(HardCases, AStatementGetsItsOwnRowsOnceFromOneEngine) {
+    Whole w(3);
+    const std::string sql = "SELECT 1 /* gt: work_ms=20 rows=2 */";
+    Asked& a = w.ask(sql, "test", "t1");
+    ASSERT_TRUE(w.until([&] { return a.ended; }));
+    EXPECT_EQ(a.result.how, statement::ClientResult::How::answered);
+    EXPECT_EQ(a.error(), "");
+    ASSERT_EQ(a.pages.size(), 1u);
+    EXPECT_EQ(a.pages[0], "[" + row(sql, 0) + "," + row(sql, 1) + "]");
+    EXPECT_EQ(a.finals, 1);
+    EXPECT_EQ(w.count("started", "t1"), 1);
+    ASSERT_TRUE(w.until([&] { return w.front().statements() == 0; }));
+    ASSERT_EQ(w.finished.size(), 1u);
+    EXPECT_EQ(w.finished[0].ended, front::Ended::served);
+}
+
+TEST(HardCases, AClientThatStopsPollingIsAbandonedAndItsWorkStops) {
+    Whole w(1);
+    w.exchange("POST", "/v1/statement", "SELECT 1 /* gt: work_ms=60000 */", Whole::headers("long", "gone"));
+    ASSERT_TRUE(w.until([&] { return w.count("started", "gone") == 1; }));
+    ASSERT_TRUE(w.until([&] { return w.count("cancelled", "gone") == 1; }));
+    ASSERT_TRUE(w.until([&] { return w.front().statements() == 0; }));
+    EXPECT_EQ(w.finished.at(0).ended, front::Ended::abandoned);
+    EXPECT_EQ(w.engine(0).machine().jobs(), 0u);
+}
+
+TEST(HardCases, AnEngineThatAnswersAfterTheFrontRefusedChangesNothing) {
+    Whole w(1);
+    w.engine(0).set({.hang = true});
+    Asked& a = w.ask("SELECT 1 /* gt: work_ms=10 */", "test", "late");
+    ASSERT_TRUE(w.until([&] { return a.ended; }));
+    EXPECT_EQ(a.result.how, statement::ClientResult::How::answered);
+    EXPECT_EQ(a.error(), "QUERY_QUEUE_FULL");  // repeatable: a refusal is harmless
+    w.engine(0).set({});
+    ASSERT_TRUE(w.until([&] { return w.front().statements() == 0; }));
+    EXPECT_EQ(a.finals, 1);
+    EXPECT_TRUE(a.pages.empty());
+}
+
+TEST(HardCases, ALostPollIsAskedAgainAndGetsTheSameDocument) {
+    Whole w(1);
+    const auto first = w.exchange("POST", "/v1/statement", "SELECT 1 /* gt: work_ms=5 rows=3 */");
+    const auto d0 = *statement::read_document(first.response.body);
+    const std::string path = d0.next_uri.substr(d0.next_uri.find("/v1/"));
+    std::string final;
+    std::string now = path, before;
+    for (int i = 0; i < 50 && final.empty(); ++i) {
+        const auto once = w.exchange("GET", now), twice = w.exchange("GET", now);
+        ASSERT_EQ(once.response.status, 200);
+        EXPECT_EQ(once.response.body, twice.response.body);
+        if (!before.empty()) {
+            EXPECT_EQ(w.exchange("GET", before).response.status, 410);
+        }
+        const auto d = *statement::read_document(once.response.body);
+        before = now;
+        if (d.final()) final = once.response.body;
+        else now = d.next_uri.substr(d.next_uri.find("/v1/"));
+    }
+    EXPECT_NE(final.find("\"data\""), std::string::npos);
+    std::string forged = now;
+    forged[forged.size() - 4] ^= 1;  // in the slug
+    EXPECT_EQ(w.exchange("GET", forged).response.status, 404);
+}
+
+TEST(HardCases, ADeleteRacingTheLastRowEndsItOnce) {
+    Whole w(1);
+    for (int i = 0; i < 20; ++i) {
+        const std::string trace = "race" + std::to_string(i);
+        const auto first = w.exchange("POST", "/v1/statement", "SELECT 1 /* gt: work_ms=" + std::to_string(i % 5) + " */",
+                                      Whole::headers("test", trace));
+        const auto next = statement::read_document(first.response.body)->next_uri;
+        const std::string path = next.substr(next.find("/v1/"));
+        int answers = 0;
+        const auto count = [&](const http::Answer&) { ++answers; };
+        auto poll = w.http->send({"GET", path, 1, {}, {}, {}}, Whole::kLimit, count);
+        auto del = w.http->send({"DELETE", path, 1, {}, {}, {}}, Whole::kLimit, count);
+        ASSERT_TRUE(w.until([&] { return answers == 2; }));
+    }
+    ASSERT_TRUE(w.until([&] { return w.front().statements() == 0; }));
+    EXPECT_EQ(w.finished.size(), 20u);
+    EXPECT_EQ(w.engine(0).machine().jobs(), 0u);
+}
+
+TEST(HardCases, AnEngineThatDiesAfterTheFirstRowEndsTheStatementWithoutAnotherTry) {
+    Whole w(2);
+    const std::string sql = "SELECT 1 /* gt: work_ms=5 rows=200000 row_bytes=100 */";
+    Asked& a = w.ask(sql, "test", "cut");
+    ASSERT_TRUE(w.until([&] { return !a.pages.empty(); }));
+    for (std::size_t i = 0; i < 2; ++i)
+        if (w.engine(i).running() > 0) w.engine(i).set({.crashed = true});
+    ASSERT_TRUE(w.until([&] { return a.ended; }));
+    EXPECT_EQ(a.error(), "REMOTE_HOST_GONE");
+    EXPECT_EQ(w.count("received", "cut"), 1);
+    ASSERT_TRUE(w.until([&] { return w.front().statements() == 0; }));
+    EXPECT_EQ(w.finished.at(0).ended, front::Ended::cut);
+}
+
+TEST(HardCases, AnUnsafeStatementTurnedAwayIsTriedAgainOneThatMayHaveRunIsNot) {
+    {
+        Whole w(2);
+        w.engine(0).set({.busy = 1});
+        for (int i = 0; i < 6; ++i) {
+            Asked& a = w.ask("INSERT 1 /* gt: work_ms=5 */", "unsafe", "b" + std::to_string(i));
+            ASSERT_TRUE(w.until([&] { return a.ended; }));
+            EXPECT_EQ(a.error(), "");
+            EXPECT_EQ(w.count("started", "b" + std::to_string(i)), 1);
+        }
+        EXPECT_GT(w.count("refused"), 0);
+    }
+    Whole w(2);
+    for (std::size_t i = 0; i < 2; ++i) w.engine(i).set({.reset_before = 1});
+    Asked& a = w.ask("INSERT 1 /* gt: work_ms=5 */", "unsafe", "r");
+    ASSERT_TRUE(w.until([&] { return a.ended; }));
+    EXPECT_EQ(a.error(), "REMOTE_HOST_GONE");  // a failure, not a refusal: it may have run
+    EXPECT_EQ(w.finished.at(0).attempts, 1);
+}
+
+TEST(HardCases, AKeyedStatementWithALostAnswerIsSentAgainAndRunsOnce) {
+    engine::MachineSettings m;
+    m.key_window = 20 * kSecondMicros;
+    Whole w(1, "facts+: { note_period: '0ms' }", m);
+    w.engine(0).set({.reset_before = 0.5});
+    for (int i = 0; i < 10; ++i) {
+        const std::string trace = "k" + std::to_string(i);
+        Asked& a = w.ask("INSERT 1 /* gt: work_ms=5 */", "keyed", trace, "key=" + trace);
+        ASSERT_TRUE(w.until([&] { return a.ended; }));
+        EXPECT_LE(w.count("started", trace), 1);
+    }
+}
+
+TEST(HardCases, ADrainingEngineGetsNothingNewAndAFrontThatDrainsEndsWhatItHas) {
+    Whole w(2);
+    Asked& running = w.ask("SELECT 1 /* gt: work_ms=300 */", "test", "running");
+    ASSERT_TRUE(w.until([&] { return w.count("started", "running") == 1; }));
+    w.engine(0).drain();
+    // Told within a period of watching; the rule's grace is two seconds.
+    ASSERT_TRUE(w.until([&] {
+        for (const auto& [id, e] : w.front().engines().all())
+            if (e->settings.name == "e0" && e->watch.entry().state == EngineState::fading) return true;
+        return false;
+    }));
+    const auto before = w.journal.size();
+    for (int i = 0; i < 10; ++i) w.ask("SELECT 1 /* gt: work_ms=5 */");
+    ASSERT_TRUE(w.until([&] { return std::all_of(w.asked.begin(), w.asked.end(), [](auto& a) { return a->ended; }); }));
+    for (const auto& a : w.asked) EXPECT_EQ(a->error(), "");
+    EXPECT_EQ(w.engine(0).running(), 0u);
+    EXPECT_GT(w.journal.size(), before);
+    EXPECT_TRUE(running.ended);
+    Asked& last = w.ask("SELECT 1 /* gt: work_ms=200 */", "test", "last");
+    ASSERT_TRUE(w.until([&] { return w.count("started", "last") == 1; }));
+    EXPECT_EQ(w.exchange("PUT", "/v1/info/state", "\"SHUTTING_DOWN\"").response.status, 200);
+    EXPECT_EQ(w.exchange("GET", "/v1/info/state").response.body, "\"SHUTTING_DOWN\"");
+    const auto turned = w.exchange("POST", "/v1/statement", "SELECT 1");
+    EXPECT_EQ(turned.response.status, 503);
+    EXPECT_TRUE(turned.response.headers.find("Retry-After"));
+    ASSERT_TRUE(w.until([&] { return last.ended; }));
+    EXPECT_EQ(last.error(), "");
+}
+
+TEST(HardCases, ALargeResultToASlowReaderIsHeldInBoundedPieces) {
+    Whole w(1, "limits: { rows_ahead: '256KiB' }");
+    // 50 MB in pages of 1 MiB; the reader takes one page at a time and looks at what the front holds meanwhile.
+    const std::string sql = "SELECT 1 /* gt: work_ms=5 rows=500000 row_bytes=100 */";
+    const auto first = w.exchange("POST", "/v1/statement", sql);
+    std::string next = statement::read_document(first.response.body)->next_uri;
+    std::size_t rows = 0, bytes = 0;
+    while (!next.empty()) {
+        const auto page = w.exchange("GET", next.substr(next.find("/v1/")));
+        ASSERT_EQ(page.response.status, 200);
+        const auto d = *statement::read_document(page.response.body);
+        ASSERT_FALSE(d.error) << d.error->message;
+        rows += statement::array_length(d.data.empty() ? "[]" : d.data);
+        bytes += page.response.body.size();
+        next = d.next_uri;
+        const auto status = w.exchange("GET", "/v1/status").response.body;
+        const std::size_t at = status.find("\"waitingBytes\":");
+        ASSERT_NE(at, std::string::npos);
+        EXPECT_LT(std::strtoull(status.c_str() + at + 15, nullptr, 10), 3u << 20);
+    }
+    EXPECT_EQ(rows, 500000u);
+    EXPECT_GT(bytes, 50u << 20);
+}
+
+TEST(HardCases, AStatementOfOneMebibyteArrivesWholeAndALargerOneIsRefused) {
+    Whole w(1);
+    std::string sql = "SELECT 1 /* gt: rows=1 */ -- ";
+    sql.resize(1 << 20, 'x');
+    Asked& a = w.ask(sql);
+    ASSERT_TRUE(w.until([&] { return a.ended; }));
+    ASSERT_EQ(a.pages.size(), 1u);
+    EXPECT_EQ(a.pages[0], "[" + row(sql, 0) + "]");
+    Asked& b = w.ask(sql + "x");
+    ASSERT_TRUE(w.until([&] { return b.ended; }));
+    EXPECT_EQ(b.result.status, 413);
+}
+
+TEST(HardCases, AFrontThatIsRestartedLeavesItsStatementsToTheirEnginesWhichStopThem) {
+    Whole w(1);
+    w.exchange("POST", "/v1/statement", "SELECT 1 /* gt: work_ms=60000 */", Whole::headers("long", "orphan"));
+    ASSERT_TRUE(w.until([&] { return w.count("started", "orphan") == 1; }));
+    w.http.reset();
+    w.restart();
+    EXPECT_EQ(w.exchange("GET", "/v1/statement/queued/20260101_000000_00001_abcde/y1/1").response.status, 404);
+    ASSERT_TRUE(w.until([&] { return w.count("late", "orphan") + w.count("abandoned", "orphan") == 1; }));
+    EXPECT_EQ(w.engine(0).machine().jobs(), 0u);
+    Asked& a = w.ask("SELECT 1 /* gt: work_ms=5 */");
+    ASSERT_TRUE(w.until([&] { return a.ended; }));
+    EXPECT_EQ(a.error(), "");
+}
+
+}  // namespace
+}  // namespace gatetiller::testing
--- /dev/null
+++ b/tests/front/whole.hpp
@@ -0,0 +1,140 @@
+// A front, stand-in engines and clients on one loop, over real sockets on loopback. Conditions are awaited, never slept for.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "engine/service.hpp"
+#include "front/front.hpp"
+#include "net/poll_loop.hpp"
+#include "statement/client.hpp"
+
+namespace gatetiller::testing {
+
+struct Asked {  // one client's view of one statement
+    std::unique_ptr<statement::StatementClient> client;
+    std::vector<std::string> pages;
+    int finals = 0;
+    bool ended = false;
+    statement::ClientResult result;
+    std::string error() const { return result.last.error ? result.last.error->name : ""; }
+};
+
+class Whole {
+public:
+    static constexpr Micros kLimit = 30 * kSecondMicros;  // generous: reached only by a failure
+
+    explicit Whole(int engines, const std::string& more = "", engine::MachineSettings machine = {}) {
+        for (int i = 0; i < engines; ++i) add_engine(machine);
+        std::string list;
+        for (std::size_t i = 0; i < engines_.size(); ++i)
+            list += "e" + std::to_string(i) + ": g.engine('" + addresses_[i].text() + "'), ";
+        const std::string text = "local g = import 'gatetiller.libsonnet';\ng.front('tested') {\n" +
+                                 std::string(kClasses) + "engines: {" + list + "},\n" + more + "\n}";
+        auto loaded = config::load_front_text("test", text);
+        if (!loaded) throw std::runtime_error(loaded.error());
+        settings = loaded->front;
+        front_ = make_front();
+    }
+    static constexpr const char* kClasses = R"(
+      listen: ['127.0.0.1:0'], seed: 7,
+      classes: {
+        short: g.class('500ms', '5s'),
+        long: g.class('3s', '20s') { threads: 2 },
+        unsafe: g.class('3s', '5s', 'once'),
+        keyed: g.class('3s', '8s', 'by_key') { window: '20s', key_scope: 'all' },
+      },
+      kinds: { std: g.kind(8, '16GiB') },
+      routes: [g.route(c, { source: c + '*' }) for c in ['long', 'unsafe', 'keyed']] + [g.route('short')],
+      roster: { watch_every: '50ms' },
+      times: { long_poll: '100ms', engine_answer: '3s', abandoned_after: '2s' },
+    )";
+
+    void add_engine(engine::MachineSettings machine) {
+        engine::ServiceSettings s;
+        s.name = "e" + std::to_string(engines_.size());
+        s.listen = *net::Address::parse("127.0.0.1:0");
+        s.machine = machine;
+        s.long_poll = 50 * kMillisecond, s.abandoned_after = 2 * kSecondMicros;
+        s.seed = engines_.size() + 1;
+        engines_.push_back(std::make_unique<engine::Service>(loop, s, [this] { return random_.hex(32); },
+                                                             [this](const engine::Entry& e) { journal.push_back(e); }));
+        addresses_.push_back(*engines_.back()->start());
+    }
+    std::unique_ptr<front::Front> make_front() {
+        auto f = std::make_unique<front::Front>(
+            loop, settings,
+            front::Deps{[this] { return random_.hex(32); }, 7, [](const std::string&) {},
+                        [this](const front::Finished& done) { finished.push_back(done); }});
+        auto bound = f->start();
+        if (!bound) throw std::runtime_error(bound.error());
+        settings.listen = {bound->front()};
+        http = std::make_unique<http::Client>(loop, bound->front(), http::ClientOptions{.connect_time_out = kSecondMicros});
+        return f;
+    }
+    void restart() {  // as after a kill: no word to anybody, another front in its place
+        front_.reset();
+        front_ = make_front();
+    }
+    Asked& ask(const std::string& sql, const std::string& source = "test", const std::string& trace = "", const std::string& tag = "") {
+        asked.push_back(std::make_unique<Asked>());
+        Asked& a = *asked.back();
+        a.client = std::make_unique<statement::StatementClient>(loop, *http, statement::EngineCallOptions{});
+        a.client->start(headers(source, trace, tag), sql, {[&a](const statement::Document& d) {
+                            if (d.has_rows()) a.pages.push_back(d.data);
+                            a.finals += d.final();
+                        },
+                        [&a](const statement::ClientResult& r) { a.ended = true, a.result = r; }});
+        return a;
+    }
+    static http::Headers headers(const std::string& source, const std::string& trace = "", const std::string& tag = "") {
+        http::Headers h;
+        h.add("X-Trino-User", "tester");
+        h.add("X-Trino-Source", source);
+        if (!trace.empty()) h.add("X-Trino-Trace-Token", trace);
+        if (!tag.empty()) h.add("X-Trino-Client-Tags", tag);
+        return h;
+    }
+    template <typename Condition>
+    [[nodiscard]] bool until(Condition condition, Micros limit = kLimit) {
+        for (const Micros end = loop.now() + limit; !condition();) {
+            if (loop.now() >= end) return false;
+            loop.turn(10 * kMillisecond);
+        }
+        return true;
+    }
+    // One exchange, awaited.
+    http::Answer exchange(const std::string& method, const std::string& target, const std::string& body = "",
+                          http::Headers h = headers("test")) {
+        http::Answer got;
+        bool done = false;
+        auto call = http->send({method, target, 1, std::move(h), body, {}}, kLimit, [&](http::Answer a) { got = std::move(a), done = true; });
+        EXPECT_TRUE(until([&] { return done; }));
+        return got;
+    }
+    int count(const std::string& event, const std::string& trace = "") const {
+        int n = 0;
+        for (const auto& e : journal) n += e.event == event && (trace.empty() || e.trace == trace);
+        return n;
+    }
+    engine::Service& engine(std::size_t i) { return *engines_[i]; }
+    front::Front& front() { return *front_; }
+
+    net::PollLoop loop;
+    config::FrontSettings settings;
+    std::vector<engine::Entry> journal;
+    std::vector<front::Finished> finished;
+    std::vector<std::unique_ptr<Asked>> asked;
+    std::unique_ptr<http::Client> http;
+
+private:
+    Random random_{42};
+    std::vector<net::Address> addresses_;
+    std::vector<std::unique_ptr<engine::Service>> engines_;
+    std::unique_ptr<front::Front> front_;
+};
+
+}  // namespace gatetiller::testing
