--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -17,6 +17,7 @@
 void add_engine(CLI::App& app, Common& common);
 void add_query(CLI::App& app, Common& common);
 void add_demo(CLI::App& app, Common& common);
+void add_lab(CLI::App& app, Common& common);
 void add_config(CLI::App& app, Common& common);
 
 }  // namespace gatetiller::cli
--- /dev/null
+++ b/src/cli/lab.cpp
@@ -0,0 +1,47 @@
+// `gatetiller lab day` and `gatetiller check`.
+#include <cstdio>
+#include <filesystem>
+
+#include "cli/commands.hpp"
+#include "config/settings.hpp"
+#include "lab/day.hpp"
+
+namespace gatetiller::cli {
+
+void add_lab(CLI::App& app, Common& common) {
+    auto* lab = app.add_subcommand("lab", "scripted days on loopback");
+    lab->require_subcommand(1);
+    auto* day = lab->add_subcommand("day", "a day with real fronts, engines and clients, judged by the seven rules");
+    auto script = std::make_shared<std::string>(), folder = std::make_shared<std::string>("records/day");
+    auto seed = std::make_shared<std::uint64_t>(0);
+    day->add_option("script", *script, "the day's script (Jsonnet)")->required();
+    day->add_option("--folder", *folder, "for configurations, logs and records")->capture_default_str();
+    day->add_option("--seed", *seed, "in place of the script's");
+    day->footer("Example: gatetiller lab day examples/day.jsonnet --folder records/day");
+    day->callback([=, &common] {
+        common.code = 1;
+        const auto text = config::whole_file(*script);
+        auto loaded = text ? lab::load_script(*script, *text) : Result<lab::Script>(Error{text.error()});
+        if (!loaded) return void(std::fprintf(stderr, "%s\n", loaded.error().c_str()));
+        if (*seed != 0) loaded->seed = *seed;
+        auto result = lab::run_day(*loaded, {std::filesystem::read_symlink("/proc/self/exe").string(), *folder});
+        if (!result) return void(std::fprintf(stderr, "%s\n", result.error().c_str()));
+        std::fputs(lab::report_of(*result).c_str(), stdout);
+        common.code = result->judgement.violations.empty() ? 0 : 1;
+    });
+
+    auto* check = app.add_subcommand("check", "the seven rules over what was recorded");
+    auto paths = std::make_shared<std::vector<std::string>>();
+    check->add_option("records", *paths, "folders of days, or files of records")->required();
+    check->footer("Example: gatetiller check records/day");
+    check->callback([=, &common] {
+        common.code = 1;
+        const auto records = lab::load_records(*paths);
+        if (!records) return void(std::fprintf(stderr, "%s\n", records.error().c_str()));
+        const auto judgement = lab::judge(*records);
+        std::fputs(lab::report_of(judgement).c_str(), stdout);
+        common.code = judgement.violations.empty() ? 0 : 1;
+    });
+}
+
+}  // namespace gatetiller::cli
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -8,7 +8,9 @@
 #include "engine/config.hpp"
 #include "engine/service.hpp"
 #include "front/front.hpp"
+#include "lab/records.hpp"
 #include "net/poll_loop.hpp"
+#include "net/tap.hpp"
 #include "statement/json.hpp"
 
 namespace gatetiller::cli {
@@ -48,7 +50,10 @@
     const auto log = make_logger(settings.log.format, settings.log.level);
     const std::string format = settings.log.format;
     net::PollLoop loop;
-    front::Front front(loop, settings, deps_of(settings, log));
+    std::ofstream records;
+    if (!settings.records.empty()) records.open(settings.records, std::ios::app);
+    net::TapLoop tapped(loop, [&](const net::TapEvent& e) { records << lab::line_of(lab::record_of(settings.name, e)) << std::flush; });
+    front::Front front(records.is_open() ? static_cast<net::Loop&>(tapped) : loop, settings, deps_of(settings, log));
     loop.on_signals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
         if (signal != SIGHUP) return front.drain([&] { loop.stop(); });
         auto again = config::load_front(file);
@@ -67,22 +72,6 @@
     return 0;
 }
 
-struct Journal {
-    std::ofstream out;
-    explicit Journal(const std::string& file) {
-        if (!file.empty()) out.open(file, std::ios::app);
-    }
-    void write(const std::string& engine, const engine::Entry& e) {
-        if (!out.is_open()) return;
-        out << fmt::format(
-            R"({{"at":{},"engine":{},"event":"{}","trace":{},"id":{},"front":{},"user":{},"source":{},"tags":{},"work_us":{:.0f},"peak_mb":{:.3f},"spilled_mb":{:.3f}}})"
-            "\n",
-            e.at, json_string(engine), e.event, json_string(e.trace), json_string(e.id), json_string(e.front), json_string(e.user), json_string(e.source),
-            json_string(e.tags), e.work_us, e.peak_mb, e.spilled_mb);
-        out.flush();  // a killed engine's journal must hold what it did
-    }
-};
-
 int run_engine(const std::string& file) {
     const auto text = config::whole_file(file);
     auto settings = text ? engine::load_engine_text(file, *text) : Result<engine::ServiceSettings>(Error{text.error()});
@@ -91,8 +80,11 @@
         return 1;
     }
     net::PollLoop loop;
-    Journal journal(settings->journal);
-    engine::Service service(loop, *settings, entropy, [&](const engine::Entry& e) { journal.write(settings->name, e); });
+    std::ofstream journal;
+    if (!settings->journal.empty()) journal.open(settings->journal, std::ios::app);
+    engine::Service service(loop, *settings, entropy, [&](const engine::Entry& e) {
+        if (journal.is_open()) journal << lab::line_of(settings->name, e) << std::flush;  // a killed engine's must be whole
+    });
     loop.on_signals({SIGTERM, SIGINT}, [&](int) { loop.stop(); });
     auto bound = service.start();
     if (!bound) {
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -230,6 +230,12 @@
     to = given;
 }
 
+void Reader::numbers(const std::string& key, std::map<std::string, double>& to, double least, double most) {
+    object(key, [&](Reader& inner) {
+        for (const auto& item : inner.value_.items()) inner.number(item.key(), to[item.key()], least, most);
+    });
+}
+
 void Reader::object(const std::string& key, const std::function<void(Reader&)>& read) {
     const auto* v = find(key);
     if (!v) return;
--- a/src/config/reader.hpp
+++ b/src/config/reader.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <initializer_list>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
@@ -45,6 +46,7 @@
     void bytes(const std::string& key, std::size_t& to);     // '16MiB'
     void megabytes(const std::string& key, double& to);      // the same, in MB of 2^20
     void number(const std::string& key, double& to, double least, double most);
+    void numbers(const std::string& key, std::map<std::string, double>& to, double least, double most);  // { name: number }
     template <typename T>
     void count(const std::string& key, T& to, double least, double most) {
         double value = static_cast<double>(to);
@@ -64,6 +66,7 @@
         }
         wrong(key, "'" + given + "' is not one of " + names);
     }
+    void raw(const std::string& key) { note(key); }  // read elsewhere
     // Objects inside: one, or each of a map from names, or each of an array (named "0", "1" ...).
     void object(const std::string& key, const std::function<void(Reader&)>& read);
     void each(const std::string& key, const std::function<void(const std::string&, Reader&)>& read);
--- a/src/engine/service.cpp
+++ b/src/engine/service.cpp
@@ -124,6 +124,7 @@
         return;
     }
     if (f.slow != before.slow) machine_->slow(loop_.now(), f.slow), on_ended(), arm();
+    if (f.flush) machine_->flush_warm();
     server_->mute(f.hang);
     if (!f.silent) ignored_.clear();
     if (f.refuse && !before.refuse) server_->stop_listening(), server_->break_all();
@@ -159,6 +160,9 @@
     if (faults_.silent) return void(ignored_.push_back(std::move(reply)));
     const bool post = request.method == "POST";
     if (post && random_.chance(faults_.reset_before)) return reply.break_connection();
+    if (faults_.lost_resets)
+        for (const auto& [id, r] : running_)
+            if (r.lost && r.ended && request.target.find(id) != std::string::npos) return reply.break_connection();
     asking_ = front_of(request);
     if (!statements_->handle(request, reply)) reply.send(statement::text_response(404, "no such path"));
 }
@@ -180,6 +184,9 @@
                            : key == "answer_lost"  ? number(f.answer_lost)
                            : key == "reset_before" ? number(f.reset_before)
                            : key == "busy"         ? number(f.busy)
+                           : key == "lost_resets"  ? flag(f.lost_resets)
+                           : key == "report_late_s" ? number(f.report_late_s)
+                           : key == "flush"        ? flag(f.flush)
                                                    : false;
         if (!right) return reply.send(statement::text_response(400, "fault '" + key + "' is not known or has a wrong value"));
     }
@@ -365,7 +372,15 @@
 std::string Service::status_members() { return ",\"processors\":" + std::to_string(static_cast<int>(settings_.machine.cores)); }
 
 void Service::decorate(http::Response& response) {
-    if (settings_.reports && machine_) response.headers.add(std::string(statement::kLoadHeader), statement::write_report(machine_->report()));
+    if (!settings_.reports || !machine_) return;
+    Report report = machine_->report();
+    if (faults_.report_late_s > 0) {
+        const Micros as_of = loop_.now() - static_cast<Micros>(faults_.report_late_s * kSecondMicros);
+        reports_.emplace_back(loop_.now(), report);
+        while (reports_.size() > 1 && reports_[1].first <= as_of) reports_.pop_front();
+        report = reports_.front().second;
+    }
+    response.headers.add(std::string(statement::kLoadHeader), statement::write_report(report));
 }
 
 }  // namespace gatetiller::engine
--- a/src/engine/service.hpp
+++ b/src/engine/service.hpp
@@ -2,6 +2,7 @@
 // and a journal of what it really did, which the rule checker reads.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -23,6 +24,9 @@
     double answer_lost = 0;   // share of statements of which the work runs and the answer never comes
     double reset_before = 0;  // share of POSTs whose connection breaks unread
     double busy = 0;          // share of POSTs answered 503
+    bool lost_resets = false; // a poll for a lost answer breaks instead of waiting
+    double report_late_s = 0; // load reports are this old
+    bool flush = false;       // at the moment it is set: nothing is warm any more
 };
 
 struct ServiceSettings {
@@ -111,6 +115,7 @@
     std::map<std::string, Running> running_;
     std::map<Machine::JobId, std::string> jobs_;
     std::vector<http::Server::Reply> ignored_;
+    std::deque<std::pair<Micros, Report>> reports_;  // of the last while, where they are told late
     net::TimerId timer_ = 0;
 };
 
--- a/src/front/engines.cpp
+++ b/src/front/engines.cpp
@@ -20,7 +20,7 @@
 }
 
 void Engines::open_source() {
-    source_ = roster::make_source(loop_, roster_);
+    source_ = roster::make_source(loop_, roster_, name_);
     if (source_)
         source_->start({[this](auto list) { take_list(list, ListForm::total); },
                         [this](const std::string& why) {
--- /dev/null
+++ b/src/lab/process.cpp
@@ -0,0 +1,104 @@
+#include "lab/process.hpp"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <ctime>
+#include <utility>
+
+extern char** environ;
+
+namespace gatetiller::lab {
+
+Process::Process(Process&& other) noexcept
+    : pid_(std::exchange(other.pid_, -1)), out_(std::exchange(other.out_, -1)), line_(std::move(other.line_)) {}
+
+Process& Process::operator=(Process&& other) noexcept {
+    std::swap(pid_, other.pid_);
+    std::swap(out_, other.out_);
+    std::swap(line_, other.line_);
+    return *this;
+}
+
+Process::~Process() {
+    kill();
+    if (out_ >= 0) ::close(out_);
+}
+
+Result<Process> Process::start(const std::vector<std::string>& command, const std::string& log, Micros patience) {
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0) return Error{std::string("pipe: ") + std::strerror(errno)};
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    // The lab blocks signals that its loop reads; its children must not inherit that.
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    sigset_t none;
+    sigemptyset(&none);
+    posix_spawnattr_setsigmask(&attributes, &none);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+    std::vector<char*> argv;
+    for (const auto& part : command) argv.push_back(const_cast<char*>(part.c_str()));
+    argv.push_back(nullptr);
+    Process p;
+    const int failed = ::posix_spawn(&p.pid_, argv[0], &actions, &attributes, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    posix_spawnattr_destroy(&attributes);
+    ::close(ends[1]);
+    p.out_ = ends[0];
+    if (failed != 0) {
+        p.pid_ = -1;
+        return Error{command[0] + ": " + std::strerror(failed)};
+    }
+    for (char c = 0;;) {
+        pollfd ready{p.out_, POLLIN, 0};
+        if (::poll(&ready, 1, static_cast<int>(patience / kMillisecond)) <= 0) return Error{command[0] + " said nothing in time; see " + log};
+        const ssize_t n = ::read(p.out_, &c, 1);
+        if (n <= 0) return Error{command[0] + " ended at its start; see " + log};
+        if (c == '\n') break;
+        p.line_ += c;
+    }
+    return p;
+}
+
+void Process::kill() {
+    if (pid_ <= 0) return;
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+    pid_ = -1;
+}
+
+void Process::stop() {
+    if (pid_ > 0) ::kill(pid_, SIGSTOP);
+}
+
+void Process::go_on() {
+    if (pid_ > 0) ::kill(pid_, SIGCONT);
+}
+
+void Process::terminate() {
+    if (pid_ > 0) ::kill(pid_, SIGTERM);
+}
+
+bool Process::wait(Micros patience) {
+    if (pid_ <= 0) return true;
+    for (Micros waited = 0; waited <= patience; waited += 10 * kMillisecond) {
+        if (::waitpid(pid_, nullptr, WNOHANG) == pid_) {
+            pid_ = -1;
+            return true;
+        }
+        const timespec nap{0, 10'000'000};
+        ::nanosleep(&nap, nullptr);
+    }
+    return false;
+}
+
+}  // namespace gatetiller::lab
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -73,6 +73,9 @@
 public:
     virtual ~Loop() = default;
     virtual Micros now() const = 0;   // monotonic; a step of the wall clock doesn't show
+    // How long at most what comes up in this turn can have waited unseen, because the process was busy or stood still.
+    // Whoever reckons with another side's time takes it off.
+    virtual Micros unseen() const = 0;
     virtual Micros wall() const = 0;  // since 1970, for records and logs only
     virtual TimerId after(Micros delay, std::function<void()> call) = 0;
     virtual void cancel(TimerId timer) = 0;  // 0 and ids that have rung are passed over
--- a/src/net/poll_loop.cpp
+++ b/src/net/poll_loop.cpp
@@ -404,13 +404,17 @@
 
 void PollLoop::turn(Micros longest) {
     ++turns_;
+    const Micros before = now_;
     flush();
     Micros wait = to_flush_.empty() && to_offer_.empty() ? longest : 0;
     refresh();
     if (!due_.empty()) wait = std::min(wait, std::max<Micros>(0, due_.begin()->first - now_));
     const timespec limit{wait / kSecondMicros, wait % kSecondMicros * 1000};
+    const Micros asked = now_;
     const int n = ::ppoll(polled_.data(), polled_.size(), &limit, nullptr);
     refresh();
+    // The last turn's work, and what the wait took longer than it should have.
+    unseen_ = asked - before + std::max<Micros>(0, now_ - asked - wait);
     if (n > 0) {
         ready_.reserve(static_cast<std::size_t>(n));
         for (std::size_t i = 0, left = static_cast<std::size_t>(n); i < polled_.size() && left > 0; ++i)
--- a/src/net/poll_loop.hpp
+++ b/src/net/poll_loop.hpp
@@ -26,6 +26,7 @@
     PollLoop& operator=(const PollLoop&) = delete;
 
     Micros now() const override { return now_; }
+    Micros unseen() const override { return unseen_; }
     Micros wall() const override;
     TimerId after(Micros delay, std::function<void()> call) override;
     void cancel(TimerId timer) override;
@@ -60,7 +61,7 @@
     void refresh();
 
     Limits limits_;
-    Micros now_ = 0;
+    Micros now_ = 0, unseen_ = 0;
     bool stopping_ = false;
     std::uint64_t turns_ = 0;
     TimerId last_timer_ = 0;
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -53,9 +53,9 @@
 
 class HttpSource final : public Source {
 public:
-    HttpSource(net::Loop& loop, net::Address server, std::string path, Micros every)
+    HttpSource(net::Loop& loop, net::Address server, std::string path, std::string name, Micros every)
         : loop_(loop), client_(loop, std::move(server), {.limits = {.body = kLargestList}}), path_(std::move(path)),
-          every_(every) {}
+          name_(std::move(name)), every_(every) {}
     ~HttpSource() override { loop_.cancel(timer_); }
     void start(Events events) override {
         events_ = std::move(events);
@@ -71,6 +71,7 @@
 private:
     void fetch() {
         http::Request get{"GET", path_, 1, {}, {}, {}};
+        get.headers.add("User-Agent", "gatetiller/" + name_);
         if (!tag_.empty()) get.headers.add("If-None-Match", tag_);
         call_ = client_.send(get, std::max(every_, kSecondMicros), [this](http::Answer a) { take(std::move(a)); });
     }
@@ -96,7 +97,7 @@
 
     net::Loop& loop_;
     http::Client client_;
-    std::string path_, tag_;
+    std::string path_, name_, tag_;
     Micros every_;
     bool lost_ = false, asked_ = false;
     std::vector<config::EngineSettings> last_;
@@ -107,8 +108,8 @@
 
 }  // namespace
 
-std::unique_ptr<Source> make_source(net::Loop& loop, const config::RosterSettings& s) {
-    if (s.http) return std::make_unique<HttpSource>(loop, *s.http, s.path, s.every);
+std::unique_ptr<Source> make_source(net::Loop& loop, const config::RosterSettings& s, const std::string& name) {
+    if (s.http) return std::make_unique<HttpSource>(loop, *s.http, s.path, name, s.every);
     if (!s.file.empty()) return std::make_unique<FileSource>(loop, s.file, s.every);
     return nullptr;
 }
--- a/src/roster/roster.hpp
+++ b/src/roster/roster.hpp
@@ -25,6 +25,7 @@
 };
 
 // Of the settings' source beside their own engines; nothing where there is none.
-std::unique_ptr<Source> make_source(net::Loop& loop, const config::RosterSettings& settings);
+// `name` is the front's, told to an HTTP list as the user agent.
+std::unique_ptr<Source> make_source(net::Loop& loop, const config::RosterSettings& settings, const std::string& name);
 
 }  // namespace gatetiller::roster
--- a/src/statement/client.cpp
+++ b/src/statement/client.cpp
@@ -43,6 +43,8 @@
     listener_->call.cancel();
 }
 
+void StatementClient::ask_again() { listener_->call.ask_again(); }
+
 void StatementClient::abandon() {
     listener_->events = {};
     listener_->call.drop();
--- a/src/statement/client.hpp
+++ b/src/statement/client.hpp
@@ -29,6 +29,7 @@
     ~StatementClient();
     void start(http::Headers headers, std::string sql, Events events);
     void cancel();   // DELETE, and no further call
+    void ask_again();  // loses the answer of the poll in flight, and polls anew
     void abandon();  // no word to the server, and no further call
 
 private:
--- a/src/statement/engine_call.cpp
+++ b/src/statement/engine_call.cpp
@@ -32,6 +32,8 @@
 
 void EngineCall::end(CallEnd how) {
     state_ = State::over;
+    // What it still runs there is nobody's any more.
+    if (!next_.empty()) send_delete(client_, headers_, next_, options_.answer_time_out);
     events_.on_end(*this, std::move(how));
 }
 
@@ -70,6 +72,10 @@
     poll();
 }
 
+void EngineCall::ask_again() {
+    if (state_ == State::polling && again_ == 0) poll();
+}
+
 void EngineCall::poll() {
     again_ = 0;
     http::Request get{"GET", next_, 1, headers_, {}, {}};
--- a/src/statement/engine_call.hpp
+++ b/src/statement/engine_call.hpp
@@ -48,6 +48,7 @@
 
     void start(http::Headers headers, std::string sql);
     void next();
+    void ask_again();  // as after a lost answer: the poll in flight is let go and sent anew
     // Asks the engine to stop. If the POST is still unanswered, the DELETE follows its answer.
     void cancel();
     void drop();  // ends here without a word to the engine
