--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -4,18 +4,34 @@
 
 #include "cli/commands.hpp"
 #include "config/settings.hpp"
+#include "lab/bench_day.hpp"
 #include "lab/cost.hpp"
 #include "lab/day.hpp"
 
 namespace gatetiller::cli {
 
+namespace {
+
+// A day drawn by the operators' bench; what it holds beyond a script is told.
+Result<lab::Script> from_bench(const std::string& name, const std::string& text) {
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (json.is_discarded()) return Error{name + ": not JSON"};
+    std::vector<std::string> left_out;
+    const auto script = lab::script_of_bench_day(json, left_out);
+    if (!script) return Error{name + ": " + script.error()};
+    for (const auto& what : left_out) std::fprintf(stderr, "left out: %s\n", what.c_str());
+    return lab::load_script(name, script->dump(1));
+}
+
+}  // namespace
+
 void add_lab(CLI::App& app, Common& common) {
     auto* lab = app.add_subcommand("lab", "scripted days on loopback");
     lab->require_subcommand(1);
     auto* day = lab->add_subcommand("day", "a day with real fronts, engines and clients, judged by the seven rules");
     auto script = std::make_shared<std::string>(), folder = std::make_shared<std::string>("records/day");
     auto seed = std::make_shared<std::uint64_t>(0);
-    day->add_option("script", *script, "the day's script (Jsonnet)")->required();
+    day->add_option("script", *script, "the day's script (Jsonnet), or a day of the operators' bench (.json)")->required();
     day->add_option("--folder", *folder, "for configurations, logs and records")->capture_default_str();
     day->add_option("--seed", *seed, "in place of the script's");
     day->footer("Example: gatetiller lab day examples/day.jsonnet --folder records/day");
@@ -23,6 +39,7 @@
         common.code = 1;
         const auto text = config::whole_file(*script);
         auto loaded = text ? lab::load_script(*script, *text) : Result<lab::Script>(Error{text.error()});
+        if (text && script->ends_with(".json")) loaded = from_bench(*script, *text);
         if (!loaded) return void(std::fprintf(stderr, "%s\n", loaded.error().c_str()));
         if (*seed != 0) loaded->seed = *seed;
         auto result = lab::run_day(*loaded, {std::filesystem::read_symlink("/proc/self/exe").string(), *folder});
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -189,6 +189,14 @@
     to = v->get<std::vector<std::string>>();
 }
 
+void Reader::counts(const std::string& key, std::vector<std::size_t>& to) {
+    const auto* v = find(key);
+    if (!v) return;
+    const bool right = v->is_array() && std::all_of(v->begin(), v->end(), [](const auto& x) { return x.is_number_integer() && x.template get<long long>() >= 0; });
+    if (!right) return wrong(key, "must be an array of whole numbers, such as [0, 2]");
+    to = v->get<std::vector<std::size_t>>();
+}
+
 void Reader::flag(const std::string& key, bool& to) {
     const auto* v = find(key);
     if (!v) return;
--- a/src/config/reader.hpp
+++ b/src/config/reader.hpp
@@ -41,6 +41,7 @@
     bool has(const std::string& key) const;
     void text(const std::string& key, std::string& to);
     void texts(const std::string& key, std::vector<std::string>& to);
+    void counts(const std::string& key, std::vector<std::size_t>& to);  // [0, 2]
     void flag(const std::string& key, bool& to);
     void span(const std::string& key, Micros& to);           // '20ms'
     void bytes(const std::string& key, std::size_t& to);     // '16MiB'
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -102,7 +102,7 @@
         facts.list_path = "/engines";
         records_out_ << line_of(facts);
         // Engines have answered their state, and the list has come, before the first statement.
-        for (const Micros until = loop_.now() + kSecondMicros; loop_.now() < until;) loop_.turn(20 * kMillisecond);
+        for (const Micros until = loop_.now() + script_.lead; loop_.now() < until;) loop_.turn(20 * kMillisecond);
         return true;
     }
     std::string log_of(const std::string& name) const { return options_.folder + "/" + name + ".log"; }
@@ -164,11 +164,14 @@
     // ---- Troubles
 
     template <typename T>
-    std::vector<T*> struck(std::vector<std::unique_ptr<T>>& all, double part, double otherwise) {
+    std::vector<T*> struck(std::vector<std::unique_ptr<T>>& all, const Trouble& t, double otherwise) {
         std::vector<T*> chosen;
+        for (const std::size_t i : t.on)
+            if (i < all.size()) chosen.push_back(all[i].get());
+        if (!chosen.empty()) return chosen;
         for (const auto& x : all) chosen.push_back(x.get());
         for (std::size_t i = chosen.size(); i > 1; --i) std::swap(chosen[i - 1], chosen[random_.below(i)]);
-        const auto n = static_cast<std::size_t>(std::ceil((part > 0 ? part : otherwise) * static_cast<double>(all.size()) - 1e-9));
+        const auto n = static_cast<std::size_t>(std::ceil((t.part > 0 ? t.part : otherwise) * static_cast<double>(all.size()) - 1e-9));
         chosen.resize(std::clamp<std::size_t>(n, 1, all.size()));
         return chosen;
     }
@@ -251,7 +254,7 @@
 
     void begin(const Trouble& t) {
         note("trouble", t.name, "part " + std::to_string(t.part) + " size " + std::to_string(t.size) + " length " + std::to_string(t.length / 1000) + " ms");
-        const auto engines = [&](double otherwise) { return struck(engines_, t.part, otherwise); };
+        const auto engines = [&](double otherwise) { return struck(engines_, t, otherwise); };
         const auto all = static_cast<double>(engines_.size());
         const auto size = [&](double otherwise) { return t.size > 0 ? t.size : otherwise; };
         const auto seconds = [&](double otherwise) { return static_cast<Micros>((t.extra > 0 ? t.extra : otherwise) * kSecondMicros); };
@@ -306,12 +309,12 @@
                 for (EngineProcess* e : chosen) hold_still(*e, e->facts.name, span, "engine_stopped", "engine_continued");
             });
         } else if (n == "balancer_stall") {
-            const auto chosen = struck(fronts_, t.part, 0.7);
+            const auto chosen = struck(fronts_, t, 0.7);
             repeat(loop_.now() + t.length, seconds(3), [this, chosen, span = static_cast<Micros>(size(800) * kMillisecond)] {
                 for (FrontProcess* f : chosen) hold_still(*f, f->name, span, "front_stopped", "front_continued");
             });
         } else if (n == "balancer_roll") {
-            in_batches<FrontProcess>(t, struck(fronts_, t.part, 0.7), static_cast<double>(fronts_.size()), size(0.2), [this, wait = seconds(0.8)](FrontProcess& f) {
+            in_batches<FrontProcess>(t, struck(fronts_, t, 0.7), static_cast<double>(fronts_.size()), size(0.2), [this, wait = seconds(0.8)](FrontProcess& f) {
                 f.process.kill();
                 note("front_killed", f.name);
                 later(wait, [this, &f] {
--- a/src/lab/script.cpp
+++ b/src/lab/script.cpp
@@ -62,6 +62,7 @@
     Reader top(json, {}, mistakes);
     top.required({"length", "front", "engines", "traffic"});
     top.count("seed", s.seed, 0, 9e15);
+    top.span("lead", s.lead);
     top.span("length", s.length);
     top.span("settle", s.settle);
     top.count("fronts", s.fronts, 1, 1000);
@@ -89,6 +90,7 @@
         r.number("part", t.part, 0, 1);
         r.number("size", t.size, 0, 1e6);
         r.number("extra", t.extra, 0, 1e6);
+        r.counts("on", t.on);
         const auto& names = trouble_names();
         if (std::find(names.begin(), names.end(), t.name) == names.end()) {
             const auto near = config::nearest(t.name, names);
--- a/src/lab/script.hpp
+++ b/src/lab/script.hpp
@@ -14,6 +14,7 @@
     std::string name, how;
     Micros at = 0, length = 0;
     double part = 0, size = 0, extra = 0;
+    std::vector<std::size_t> on;  // exactly these, counted from 0 in the order of their names; empty: drawn by part
 };
 
 struct EngineGroup {
@@ -25,6 +26,7 @@
 
 struct Script {
     std::uint64_t seed = 1;
+    Micros lead = kSecondMicros;  // before the first arrival
     Micros length = 0, settle = 30 * kSecondMicros;  // after the last arrival, for what is still out
     int fronts = 1;
     nlohmann::json front = nlohmann::json::object();  // as in a front's configuration, without engines and listeners
