--- a/src/decide/notes.hpp
+++ b/src/decide/notes.hpp
@@ -1,4 +1,4 @@
-// What an engine's document tells of a running attempt, in the module's words.
+// What an engine's documents tell of a running attempt, in the module's words and at the module's pace.
 #pragma once
 
 #include <vector>
@@ -18,8 +18,19 @@
     double value;
 };
 
-// Progress always, so that silence is noticed; spilling as MB written, once more than was told before; waiting for
-// memory while the engine queues it, for a load while it is scheduled but none of its splits runs.
-std::vector<Told> notes_of(const Seen& before, const Seen& now);
+// One attempt's notes. The module judges an attempt by its progress at a known pace: told more often, a short query that
+// has only begun looks as if it would never end and is called off. So progress is told once a period, from the attempt's
+// start on. What is news goes out at once, each a first time and then once a period: that it spills (MB written, once
+// more than before), that it waits for memory (the engine queues it) or for a load (scheduled, none of its splits runs).
+class Notes {
+public:
+    Notes(Micros started, Micros period) : period_(period), progress_at_(started), waits_at_(started - period) {}
+    std::vector<Told> take(Micros now, const Seen& seen);
+
+private:
+    Micros period_, progress_at_, waits_at_;
+    std::int64_t spilled_ = 0;
+    double waiting_for_ = 0;
+};
 
 }  // namespace gatetiller::decide
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -18,7 +18,7 @@
 struct MachineSettings {
     double cores = 8, memory_mb = 16384;
     double speed = 1;               // of a core
-    double disks = 0.6;             // reading and writing that the disks can do, as a share of all cores' work
+    double disks = 0.6;             // reading and writing that the disks can do, as a share of what all cores can compute
     double knee = 1.6;              // threads a core past which total work falls
     double past_knee = 0.5;         // how fast it falls: at twice the knee to 1 / (1 + this)
     double sessions_per_core = 8;   // more are turned away
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -31,7 +31,8 @@
 }  // namespace
 
 struct Front::Attempt final : statement::EngineCall::Events {
-    Attempt(Front& f, Running& r, int n, EngineId e) : front(f), running(r), number(n), engine(e) {}
+    Attempt(Front& f, Running& r, int n, EngineId e)
+        : front(f), running(r), number(n), engine(e), sent(f.loop_.now()), notes(sent, f.settings_.module.note_period) {}
     ~Attempt() override { front.loop_.cancel(timer); }
     void on_document(statement::EngineCall&, statement::Document d, const http::Headers& h) override {
         front.on_document(*this, std::move(d), h);
@@ -43,10 +44,10 @@
     int number;
     EngineId engine;
     std::unique_ptr<statement::EngineCall> call;
-    Micros sent = 0;
+    Micros sent;
+    decide::Notes notes;
     net::TimerId timer = 0;
     bool over = false, ever_ran = false;
-    decide::Seen seen;
     statement::Stats stats;
     std::string columns;
     std::optional<Report> report;
@@ -302,7 +303,6 @@
     if (!r) return;
     r->attempts.push_back(std::make_unique<Attempt>(*this, *r, static_cast<int>(r->attempts.size()), action.engine));
     Attempt& a = *r->attempts.back();
-    a.sent = loop_.now();
     if (r->first_sent == 0) r->first_sent = a.sent;
     Engine* engine = engines_.find(action.engine);
     if (r->answered || r->rows_out || !engine) return complete(a, r->answered || r->rows_out ? Outcome::skipped : Outcome::econnrefused, r->answered);
@@ -365,10 +365,8 @@
         if (d.error) how.has_error = true, how.error_type = d.error->type, how.error_name = d.error->name;
         return end_attempt(a, how, std::move(d), headers);
     }
-    const decide::Seen now{d.stats.progress, d.stats.queued, d.stats.scheduled, d.stats.queued_splits, d.stats.running_splits, d.stats.spilled_bytes};
-    const auto told = decide::notes_of(a.seen, now);
-    a.seen = now;
-    for (const auto& note : told) {
+    const decide::Seen seen{d.stats.progress, d.stats.queued, d.stats.scheduled, d.stats.queued_splits, d.stats.running_splits, d.stats.spilled_bytes};
+    for (const auto& note : a.notes.take(loop_.now(), seen)) {
         post(Note{r.id, a.number, a.engine, note.topic, note.value});
         if (a.over) return;  // the module called it off
     }
