--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -28,9 +28,9 @@
 };
 
 struct RosterSettings {
-    std::string file;                 // watched; empty: none
-    std::optional<net::Address> http;  // a list polled there; absent: none
-    std::string path;
+    std::string file{};               // watched; empty: none
+    std::optional<net::Address> http{};  // a list polled there; absent: none
+    std::string path{};
     Micros every = kSecondMicros;
     Micros watch_every = kSecondMicros;  // how often each engine is asked for its state; 0: never
 };
--- a/src/engine/service.cpp
+++ b/src/engine/service.cpp
@@ -126,6 +126,10 @@
     if (f.slow != before.slow) machine_->slow(loop_.now(), f.slow), on_ended(), arm();
     if (f.flush) machine_->flush_warm();
     server_->mute(f.hang);
+    http::Server::Mischief m;
+    m.trickle_bytes = static_cast<std::size_t>(f.trickle);
+    if (f.cut > 0) m.cuts = [this, share = f.cut] { return random_.chance(share); };
+    server_->mischief(std::move(m));
     if (!f.silent) ignored_.clear();
     if (f.refuse && !before.refuse) server_->stop_listening(), server_->break_all();
     if (!f.refuse && before.refuse) (void)server_->listen(bound_);
@@ -184,6 +188,8 @@
                            : key == "answer_lost"  ? number(f.answer_lost)
                            : key == "reset_before" ? number(f.reset_before)
                            : key == "busy"         ? number(f.busy)
+                           : key == "cut"          ? number(f.cut)
+                           : key == "trickle"      ? number(f.trickle)
                            : key == "lost_resets"  ? flag(f.lost_resets)
                            : key == "report_late_s" ? number(f.report_late_s)
                            : key == "flush"        ? flag(f.flush)
--- a/src/engine/service.hpp
+++ b/src/engine/service.hpp
@@ -24,6 +24,8 @@
     double answer_lost = 0;   // share of statements of which the work runs and the answer never comes
     double reset_before = 0;  // share of POSTs whose connection breaks unread
     double busy = 0;          // share of POSTs answered 503
+    double cut = 0;           // share of answers that break off in the middle
+    double trickle = 0;       // answers leave so many bytes every 10 ms; 0: whole
     bool lost_resets = false; // a poll for a lost answer breaks instead of waiting
     double report_late_s = 0; // load reports are this old
     bool flush = false;       // at the moment it is set: nothing is warm any more
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -46,9 +46,27 @@
             muted = true;
             return;
         }
-        gone = nullptr;
         const bool close = close_after || server.draining_;
-        stream->send(write(response, close, head_only));
+        std::string text = write(response, close, head_only);
+        if (server.mischief_.cuts && server.mischief_.cuts()) {
+            stream->send(text.substr(0, text.size() / 2));
+            gone = nullptr;
+            return enter(Phase::writing_last);
+        }
+        if (server.mischief_.trickle_bytes > 0) return trickle(std::make_shared<std::string>(std::move(text)), 0, close);
+        stream->send(std::move(text));
+        answered(close);
+    }
+    void trickle(std::shared_ptr<std::string> text, std::size_t from, bool close) {
+        const std::size_t n = server.mischief_.trickle_bytes > 0 ? server.mischief_.trickle_bytes : text->size();
+        stream->send(text->substr(from, n));
+        if (from + n >= text->size()) return answered(close);
+        server.loop_.after(server.mischief_.trickle_every, [weak = weak_from_this(), text, from, n, close] {
+            if (const auto self = weak.lock(); self && self->stream) self->trickle(text, from + n, close);
+        });
+    }
+    void answered(bool close) {
+        gone = nullptr;
         unsent = stream->unsent();
         if (close) return enter(Phase::writing_last);
         parser.reset();
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -66,6 +66,13 @@
     void drain();
     // For stand-ins with faults. Mute: requests are handled, but no answer leaves; once unmuted those connections break.
     void mute(bool on);
+    // And: answers leave a few bytes at a time, or break off in the middle. `cuts` is asked for each answer.
+    struct Mischief {
+        std::size_t trickle_bytes = 0;  // 0: whole
+        Micros trickle_every = 10 * kMillisecond;
+        std::function<bool()> cuts;
+    };
+    void mischief(Mischief m) { mischief_ = std::move(m); }
     void break_all();  // resets every connection
     std::size_t connections() const { return connections_.size(); }
     const ServerCounts& counts() const { return counts_; }
@@ -77,6 +84,7 @@
     ServerOptions options_;
     Handler handler_;
     bool draining_ = false, mute_ = false;
+    Mischief mischief_;
     std::uint64_t last_ = 0;
     ServerCounts counts_;
     std::vector<std::unique_ptr<net::Listener>> listeners_;
--- /dev/null
+++ b/tests/cli/program_test.cpp
@@ -0,0 +1,88 @@
+// The program as an operator meets it: exit codes, where text goes, signals, reload.
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+
+#include "lab/process.hpp"
+
+namespace gatetiller {
+namespace {
+
+constexpr Micros kPatience = 30 * kSecondMicros;
+const std::string kProgram = GATETILLER_PROGRAM;
+
+struct Ran {
+    int code = -1;
+    std::string out;
+};
+Ran run(const std::string& arguments, bool errors_too = false) {
+    Ran r;
+    FILE* pipe = popen((kProgram + " " + arguments + (errors_too ? " 2>&1" : " 2>/dev/null")).c_str(), "r");
+    char piece[4096];
+    while (std::size_t n = fread(piece, 1, sizeof piece, pipe)) r.out.append(piece, n);
+    r.code = WEXITSTATUS(pclose(pipe));
+    return r;
+}
+
+class ProgramTest : public ::testing::Test {
+protected:
+    std::string file(const std::string& name) const { return ::testing::TempDir() + "program-" + std::to_string(::getpid()) + "-" + name; }
+    void write(const std::string& name, const std::string& text) const { std::ofstream(file(name)) << text; }
+    lab::Process start(const std::string& what, const std::string& name) {
+        auto p = lab::Process::start({kProgram, what, "--config", file(name)}, file(name) + ".log", kPatience);
+        EXPECT_TRUE(p) << p.error();
+        return p ? std::move(*p) : lab::Process{};
+    }
+    std::string front(const std::string& engine, const std::string& route) const {
+        return "local g = import 'gatetiller.libsonnet'; g.front('f') { classes: { short: g.class('1s', '9s') }, kinds: { std: g.kind(8, '16GiB') }, engines: { e: g.engine('" +
+               engine.substr(7) + "') }, routes: [" + route + "], roster: { watch_every: '20ms' } }";
+    }
+};
+
+TEST_F(ProgramTest, SaysWhatIsWrongWithAnExitCode) {
+    EXPECT_EQ(run("").code, 2);
+    EXPECT_EQ(run("serve").code, 2);
+    EXPECT_EQ(run("serve --config /nowhere --check").code, 1);
+    EXPECT_EQ(run("query --server nonsense 'SELECT 1'").code, 2);
+    EXPECT_EQ(run("query --server http://127.0.0.1:1 'SELECT 1'").code, 1);
+    EXPECT_EQ(run("check /dev/null").code, 1);
+    for (const char* command : {"", "demo", "serve", "engine", "query", "config", "lab", "lab day", "lab cost", "check"}) {
+        const auto help = run(std::string(command) + " --help");
+        EXPECT_EQ(help.code, 0) << command;
+        EXPECT_FALSE(help.out.empty());
+    }
+    write("day.jsonnet", "{ length: '1s', front: {}, engines: {}, traffic: { rate: 1, classes: {} }, troubles: [{ name: 'hangs', at: '1s' }] }");
+    EXPECT_NE(run("lab day " + file("day.jsonnet"), true).out.find("did you mean 'hang'?"), std::string::npos);
+}
+
+TEST_F(ProgramTest, ServesReloadsAndDrainsBySignals) {
+    write("engine.jsonnet", "{ name: 'e' }");
+    auto engine = start("engine", "engine.jsonnet");
+    write("front.jsonnet", front(engine.first_line(), "g.route('short', { user: 'ann' })"));
+    auto served = start("serve", "front.jsonnet");
+    const std::string server = served.first_line();
+    const auto ask = [&](const std::string& more) { return run("query --server " + server + " " + more + " 'SELECT 1 /* gt: work_ms=1 rows=2 */'"); };
+    const auto rows = ask("--user ann --format csv");
+    EXPECT_EQ(rows.code, 0);
+    EXPECT_EQ(std::count(rows.out.begin(), rows.out.end(), '\n'), 3);
+    EXPECT_EQ(ask("--user bob").code, 1);  // no route
+    write("front.jsonnet", "{ broken");
+    ::kill(served.pid(), SIGHUP);
+    EXPECT_EQ(ask("--user ann").code, 0);  // the old settings stay
+    write("front.jsonnet", front(engine.first_line(), "g.route('short')"));
+    ::kill(served.pid(), SIGHUP);
+    bool reloaded = false;
+    for (int i = 0; i < 100 && !reloaded; ++i) reloaded = ask("--user bob --format json").code == 0;
+    EXPECT_TRUE(reloaded);
+    served.terminate();
+    EXPECT_TRUE(served.wait(kPatience));
+    std::ifstream log(file("front.jsonnet") + ".log");
+    const std::string text((std::istreambuf_iterator<char>(log)), {});
+    for (const char* part : {"served user=ann", "reload refused", "reloaded engines", "drained: 0 statements left behind"})
+        EXPECT_NE(text.find(part), std::string::npos) << part << " in " << text;
+}
+
+}  // namespace
+}  // namespace gatetiller
--- a/tests/front/hard_cases_test.cpp
+++ b/tests/front/hard_cases_test.cpp
@@ -2,6 +2,8 @@
 #include "front/whole.hpp"
 #include "statement/json.hpp"
 
+#include <set>
+
 namespace gatetiller::testing {
 namespace {
 
@@ -219,6 +221,82 @@
     w.expect_rules_kept();
 }
 
+TEST(HardCases, AnEngineThatTricklesOrBreaksOffItsAnswersHoldsNobodyUpForGood) {
+    Whole w(3, "times+: { engine_answer: '400ms' }");
+    w.engine(0).set({.trickle = 1});
+    w.engine(1).set({.cut = 0.3});
+    for (int i = 0; i < 40; ++i) w.ask("SELECT 1 /* gt: work_ms=5 rows=20 */", "long");
+    ASSERT_TRUE(w.until([&] { return std::all_of(w.asked.begin(), w.asked.end(), [](auto& a) { return a->ended; }); }));
+    int served = 0;
+    for (const auto& a : w.asked) {
+        EXPECT_EQ(a->finals, 1);
+        served += a->error().empty();
+        if (a->error().empty()) {
+            ASSERT_EQ(a->pages.size(), 1u);
+            EXPECT_EQ(statement::array_length(a->pages[0]), 20u);
+        }
+    }
+    EXPECT_GT(served, 20);
+    w.expect_rules_kept();
+}
+
+TEST(HardCases, AWallClockThatStepsBackOrForthChangesNothing) {
+    Whole w(1);
+    Asked& before = w.ask("SELECT 1 /* gt: work_ms=200 */");
+    ASSERT_TRUE(w.until([&] { return before.taken; }));
+    std::vector<std::string> ids;
+    for (const Micros step : {-7200 * kSecondMicros, 0 * kSecondMicros, 86400 * kSecondMicros}) {
+        w.clock.step = step;
+        ids.push_back(statement::read_document(w.exchange("POST", "/v1/statement", "SELECT 1", Whole::headers("test", "step" + std::to_string(ids.size()))).response.body)->id);
+    }
+    EXPECT_NE(ids[0].substr(0, 15), ids[2].substr(0, 15));
+    EXPECT_EQ(std::set<std::string>(ids.begin(), ids.end()).size(), 3u);
+    ASSERT_TRUE(w.until([&] { return before.ended; }));
+    EXPECT_EQ(before.error(), "");
+    EXPECT_EQ(before.finals, 1);
+    w.expect_rules_kept();
+}
+
+TEST(HardCases, AnOlderClientIsAnsweredInItsFamilyAndAnEnginesSessionHeadersArePassedOn) {
+    // An engine written out by hand: two documents, with headers that a gateway passes on and one that it doesn't.
+    Whole w(0, "engines: { e0: g.engine('127.0.0.1:1') }");
+    std::vector<http::Request> heard;
+    net::Address at;
+    http::Server engine(w.loop, {}, [&](http::Request& r, http::Server::Reply reply) {
+        heard.push_back(r);
+        const bool last = r.target == "/v1/statement/executing/q/s/1";
+        auto answer = statement::json_response(200, last ? R"({"id":"q","columns":[{"name":"a"}],"data":[[1]],"stats":{"state":"FINISHED"}})"
+                                                         : R"({"id":"q","nextUri":"http://elsewhere:1/v1/statement/executing/q/s/1","stats":{"state":"QUEUED"}})");
+        answer.headers.add("X-Presto-Set-Session", "a=b");
+        answer.headers.add("X-Presto-Internal", "no");
+        if (!r.target.starts_with("/v1/statement")) answer = statement::text_response(404, "");
+        reply.send(answer);
+    });
+    at = *engine.listen(*net::Address::parse("127.0.0.1:0"));
+    w.settings.engines[0].address = at;
+    w.restart();
+    http::Headers h;
+    h.add("X-Presto-User", "old"), h.add("X-Presto-Session", "mine=1"), h.add("X-Presto-Client-Info", "v0");
+    const auto first = w.exchange("POST", "/v1/statement", "SELECT 1", h);
+    ASSERT_EQ(first.response.status, 200);
+    const auto next = statement::read_document(first.response.body)->next_uri;
+    const auto last = w.exchange("GET", next.substr(next.find("/v1/")), "", h);
+    EXPECT_NE(last.response.body.find("[[1]]"), std::string::npos);
+    EXPECT_EQ(last.response.headers.find("X-Presto-Set-Session"), "a=b");
+    EXPECT_FALSE(last.response.headers.find("X-Presto-Internal"));
+    const auto post = std::find_if(heard.begin(), heard.end(), [](const auto& r) { return r.method == "POST"; });
+    ASSERT_NE(post, heard.end());
+    EXPECT_EQ(post->headers.find("X-Presto-Client-Info"), "v0");
+    EXPECT_NE(post->headers.find("X-Presto-Session")->find("mine=1"), std::string_view::npos);
+    EXPECT_NE(post->headers.find("X-Presto-Session")->find("query_max_run_time="), std::string_view::npos);
+    // What is known of it, for its own user only.
+    const auto id = statement::read_document(first.response.body)->id;
+    EXPECT_NE(w.exchange("GET", "/v1/query/" + id, "", h).response.body.find("\"FINISHED\""), std::string::npos);
+    EXPECT_EQ(w.exchange("DELETE", "/v1/query/" + id).response.status, 403);
+    EXPECT_NE(w.exchange("GET", "/v1/info").response.body.find("\"starting\":false"), std::string::npos);
+    EXPECT_NE(w.exchange("GET", "/metrics").response.body.find("gatetiller_statements_finished_total{class=\"short\",ended=\"served\"} 1"), std::string::npos);
+}
+
 TEST(HardCases, AFrontThatIsRestartedLeavesItsStatementsToTheirEnginesWhichStopThem) {
     Whole w(1);
     w.exchange("POST", "/v1/statement", "SELECT 1 /* gt: work_ms=60000 */", Whole::headers("long", "orphan"));
--- a/tests/front/whole.hpp
+++ b/tests/front/whole.hpp
@@ -27,6 +27,27 @@
     std::string error() const { return result.last.error ? result.last.error->name : ""; }
 };
 
+// The real loop with a wall clock that a test sets.
+class SteppedLoop final : public net::Loop {
+public:
+    explicit SteppedLoop(net::Loop& below) : below_(below) {}
+    Micros now() const override { return below_.now(); }
+    Micros unseen() const override { return below_.unseen(); }
+    Micros wall() const override { return below_.wall() + step; }
+    net::TimerId after(Micros delay, std::function<void()> call) override { return below_.after(delay, std::move(call)); }
+    void cancel(net::TimerId timer) override { below_.cancel(timer); }
+    Result<std::unique_ptr<net::Listener>> listen(const net::Address& at, std::function<void(std::unique_ptr<net::Stream>)> accepted) override {
+        return below_.listen(at, std::move(accepted));
+    }
+    std::unique_ptr<net::Stream> connect(const net::Address& to, net::StreamEvents& events, Micros time_out) override {
+        return below_.connect(to, events, time_out);
+    }
+    Micros step = 0;
+
+private:
+    net::Loop& below_;
+};
+
 class Whole {
 public:
     static constexpr Micros kLimit = 30 * kSecondMicros;  // generous: reached only by a failure
@@ -168,6 +189,7 @@
     front::Front& front() { return *front_; }
 
     net::PollLoop loop;
+    SteppedLoop clock{loop};
     config::FrontSettings settings;
     std::function<bool(const Event&)> drop_event;  // true: the module never hears of it
     lab::Records records;
@@ -177,7 +199,7 @@
     std::unique_ptr<http::Client> http;
 
 private:
-    net::TapLoop tap_{loop, [this](const net::TapEvent& e) { records.sockets.push_back(lab::record_of("tested", e)); }};
+    net::TapLoop tap_{clock, [this](const net::TapEvent& e) { records.sockets.push_back(lab::record_of("tested", e)); }};
     Settings truth_;
     Random random_{42};
     std::vector<net::Address> addresses_;
