config diff, drains from this machine only, lists that lie, the limit of open files

Need: the command line's promised diff; anybody on the network could drain a front; the issue's lists that lie.

Change: config diff prints a JSON patch; PUT /v1/info/state from other machines needs remote_drain; the lab's list_lies calls running engines gone; serve raises its limit of open files and warns where it is too low for its connections.

--- a/examples/day.jsonnet
+++ b/examples/day.jsonnet
@@ -1,4 +1,4 @@
-// A bad day: two fronts, eight engines, eleven kinds of trouble in half a minute.
+// A bad day: two fronts, eight engines, twelve kinds of trouble in half a minute.
 // gatetiller lab day examples/day.jsonnet --folder records/day
 local g = import 'gatetiller.libsonnet';
 local front = g.front('any') {
@@ -61,6 +61,7 @@
     { name: 'balancer_roll', at: '10s', length: '4s', part: 1, size: 0.5, extra: 0.8 },
     { name: 'burst', at: '12s', length: '4s', size: 2 },
     { name: 'discovery_down', at: '14s', length: '4s' },
+    { name: 'list_lies', at: '19s', length: '5s', part: 0.2 },
     { name: 'deploy', at: '15s', length: '8s', part: 0.4, size: 0.12, extra: 2.5 },
     { name: 'answer_lost', at: '18s', length: '6s', part: 0.5, size: 0.2, how: 'reset' },
     { name: 'balancer_stall', at: '21s', length: '5s', part: 0.5, size: 600, extra: 2 },
--- a/src/cli/process.cpp
+++ b/src/cli/process.cpp
@@ -1,6 +1,7 @@
 #include "cli/process.hpp"
 
 #include <spdlog/sinks/stdout_sinks.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <cstdlib>
@@ -34,4 +35,12 @@
     return seed;
 }
 
+std::size_t raise_open_files() {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return 0;
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    return limit.rlim_cur;
+}
+
 }  // namespace gatetiller::cli
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <nlohmann/json.hpp>
 
 #include "cli/commands.hpp"
 #include "cli/process.hpp"
@@ -49,6 +50,10 @@
     if (common.level_given) settings.log.level = common.log_level;
     const auto log = make_logger(settings.log.format, settings.log.level);
     const std::string format = settings.log.format;
+    const std::size_t files = raise_open_files();
+    if (files < settings.server.connections + 1000)
+        log->warn(say(format, "this process may open " + std::to_string(files) + " files: too few for limits.connections of " +
+                                  std::to_string(settings.server.connections) + " and its engines; raise the limit (ulimit -n) or lower the setting"));
     net::PollLoop loop;
     std::ofstream records;
     if (!settings.records.empty()) records.open(settings.records, std::ios::app);
@@ -209,6 +214,20 @@
             common.code = loaded ? 0 : 1;
         });
     };
+    auto* diff = cmd->add_subcommand("diff", "what differs between two, as a JSON patch (RFC 6902) from the first to the second");
+    auto first = std::make_shared<std::string>(), second = std::make_shared<std::string>();
+    diff->add_option("first", *first, "a configuration (Jsonnet)")->required();
+    diff->add_option("second", *second, "another")->required();
+    diff->footer("Example: gatetiller config diff old.jsonnet new.jsonnet");
+    diff->callback([=, &common] {
+        common.code = 1;
+        const auto a = config::load_front(*first), b = config::load_front(*second);
+        for (const auto* loaded : {&a, &b})
+            if (!*loaded) return void(std::fprintf(stderr, "%s\n", loaded->error().c_str()));
+        const auto patch = nlohmann::json::diff(nlohmann::json::parse(a->json), nlohmann::json::parse(b->json));
+        std::printf("%s\n", patch.dump(2).c_str());
+        common.code = 0;
+    });
     with_file("show", "print it as JSON", [](const config::Loaded& l, const std::string&) { std::fputs(l.json.c_str(), stdout); });
     with_file("check", "check it", [](const config::Loaded&, const std::string& f) { std::printf("%s: fine\n", f.c_str()); });
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -278,6 +278,7 @@
     f.server.limits.body = f.holding.statement_bytes;
     top.object("times", [&](Reader& r) { read_times(r, f); });
     top.flag("trust_forwarded", f.statements.trust_forwarded);
+    top.flag("remote_drain", f.statements.remote_drain);
     top.text("environment", f.statements.environment);
     top.text("records", f.records);
     top.object("log", [&](Reader& r) {
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -27,6 +27,7 @@
     json faults = json::object();
     bool drains = false;
     std::string listed = "on";  // what the list says, once notice was given
+    bool lied_about = false;    // the list calls it gone whatever it is
 };
 
 struct FrontProcess {
@@ -145,9 +146,10 @@
         json list = {{"engines", json::object()}};
         std::string states;
         for (const auto& e : engines_) {
-            states += (states.empty() ? "" : ",") + e->facts.name + "=" + e->listed;
-            if (e->listed == "off") continue;
-            list["engines"][e->facts.name] = {{"address", e->facts.address}, {"zone", e->facts.zone}, {"kind", e->facts.kind}, {"state", e->listed}};
+            const std::string state = e->lied_about ? "off" : e->listed;
+            states += (states.empty() ? "" : ",") + e->facts.name + "=" + state;
+            if (state == "off") continue;
+            list["engines"][e->facts.name] = {{"address", e->facts.address}, {"zone", e->facts.zone}, {"kind", e->facts.kind}, {"state", state}};
         }
         const std::string tag = "\"" + std::to_string(std::hash<std::string>{}(states)) + "\"";
         const auto agent = r.headers.find("User-Agent").value_or("");
@@ -321,6 +323,11 @@
                     if (auto up = start_front(f); !up) note("front_failed", f.name, up.error());
                 });
             });
+        } else if (n == "list_lies") {
+            for (EngineProcess* e : engines(0.2)) {
+                e->lied_about = true;
+                later(t.length, [e] { e->lied_about = false; });
+            }
         } else if (n == "discovery_down") {
             list_down_ = true;
             later(t.length, [this] { list_down_ = false; });
--- a/src/lab/script.cpp
+++ b/src/lab/script.cpp
@@ -48,7 +48,7 @@
 const std::vector<std::string>& trouble_names() {
     static const std::vector<std::string> kNames = {
         "ageing", "answer_lost", "balancer_roll", "balancer_stall", "burst",       "crash",   "deploy",      "discovery_down",
-        "fast_errors", "flush",   "give_up",       "hang",           "heavy_tail", "hot_key", "mass_restart", "pauses",
+        "fast_errors", "flush",   "give_up",       "hang",           "heavy_tail", "hot_key", "list_lies", "mass_restart", "pauses",
         "preempt", "report_late", "shared_slow",   "shift",          "slow",       "tenant_burst", "vanish"};
     return kNames;
 }
--- a/src/lab/script.hpp
+++ b/src/lab/script.hpp
@@ -8,7 +8,8 @@
 
 namespace gatetiller::lab {
 
-// Troubles bear the names of the operators' bench, so that one of its days can be replayed here. `part` is the share of
+// Troubles bear the names of the operators' bench, so that one of its days can be replayed here; list_lies is this lab's own:
+// the list calls engines gone that run, and no change of theirs reaches it. `part` is the share of
 // engines (of fronts, for those of fronts) that it strikes; `size` and `extra` mean what they mean there.
 struct Trouble {
     std::string name, how;
--- a/src/statement/server.cpp
+++ b/src/statement/server.cpp
@@ -316,6 +316,9 @@
     const auto up = (loop_.now() - started_) / kMillisecond;
     if (path == "/v1/info/state") {
         if (request.method == "PUT") {
+            const std::string& from = request.peer;
+            const bool here = from.starts_with("127.") || from.starts_with("[::1]") || from.starts_with("unix:");
+            if (!here && !options_.remote_drain) return answer(reply, text_response(403, "drained from its own machine only"));
             if (trimmed(request.body) != "\"SHUTTING_DOWN\"")
                 return answer(reply, text_response(400, "the one state to put is \"SHUTTING_DOWN\""));
             draining = true;
--- a/src/statement/server.hpp
+++ b/src/statement/server.hpp
@@ -50,6 +50,7 @@
     Micros abandoned_after = 300 * kSecondMicros;  // without a poll
     Micros finished_kept = 30 * kSecondMicros;     // the final document, for being asked again
     std::size_t finished_bytes = 64 * 1024 * 1024;  // and in all, overhead included: the oldest go first
+    bool remote_drain = false;  // PUT /v1/info/state is heard from other machines too, not only from this one
     bool trust_forwarded = false;                   // X-Forwarded-Proto and -Host build the URIs
 };
 
--- a/tests/cli/program_test.cpp
+++ b/tests/cli/program_test.cpp
@@ -48,7 +48,7 @@
     EXPECT_EQ(run("query --server nonsense 'SELECT 1'").code, 2);
     EXPECT_EQ(run("query --server http://127.0.0.1:1 'SELECT 1'").code, 1);
     EXPECT_EQ(run("check /dev/null").code, 1);
-    for (const char* command : {"", "demo", "serve", "engine", "query", "config", "lab", "lab day", "lab cost", "check"}) {
+    for (const char* command : {"", "demo", "serve", "engine", "query", "config", "config diff", "lab", "lab day", "lab cost", "check"}) {
         const auto help = run(std::string(command) + " --help");
         EXPECT_EQ(help.code, 0) << command;
         EXPECT_FALSE(help.out.empty());
@@ -57,6 +57,18 @@
     EXPECT_NE(run("lab day " + file("day.jsonnet"), true).out.find("did you mean 'hang'?"), std::string::npos);
 }
 
+TEST_F(ProgramTest, ShowsAndComparesConfigurations) {
+    write("a.jsonnet", front("http://127.0.0.1:1", "g.route('short')"));
+    write("b.jsonnet", front("http://127.0.0.1:2", "g.route('short')"));
+    const auto patch = run("config diff " + file("a.jsonnet") + " " + file("b.jsonnet"));
+    EXPECT_EQ(patch.code, 0);
+    EXPECT_NE(patch.out.find("/engines/e/address"), std::string::npos);
+    EXPECT_EQ(patch.out.find("/classes"), std::string::npos);
+    EXPECT_NE(run("config show " + file("a.jsonnet")).out.find("\"drain_grace\": \"2s\""), std::string::npos);
+    EXPECT_EQ(run("config check " + file("a.jsonnet")).code, 0);
+    EXPECT_EQ(run("config check /nowhere").code, 1);
+}
+
 TEST_F(ProgramTest, ServesReloadsAndDrainsBySignals) {
     write("engine.jsonnet", "{ name: 'e' }");
     auto engine = start("engine", "engine.jsonnet");
