A statement's life as one state machine; a front comes back with the last list it held

Need: what may happen to a statement when stood in four flags; a front restarted while its list was out of reach knew the configuration's engines only.

Change: decide/life.hpp with every transition in sight; roster.keep holds the last list, moved into place whole, and is passed over where it is torn.

Result: Life over 5,000 seeds reaches its 8 states and keeps its promises; a list torn at any byte is refused; a front restarted with the list down serves by the last one.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -141,6 +141,7 @@
 
 void read_roster(Reader& r, RosterSettings& to) {
     r.text("file", to.file);
+    r.text("keep", to.keep);
     r.span("every", to.every);
     r.span("watch_every", to.watch_every);
     std::string url;
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -31,6 +31,7 @@
     std::string file{};               // watched; empty: none
     std::optional<net::Address> http{};  // a list polled there; absent: none
     std::string path{};
+    std::string keep{};               // file for the last list, for the next start; empty: not kept
     Micros every = kSecondMicros;
     Micros watch_every = kSecondMicros;  // how often each engine is asked for its state; 0: never
 };
--- a/src/front/engines.cpp
+++ b/src/front/engines.cpp
@@ -13,8 +13,14 @@
 Engines::~Engines() { loop_.cancel(watching_); }
 
 void Engines::start() {
-    // The configuration's engines are what is known until a source's first list comes, as a last list would be.
-    take_list(own_, ListForm::warm_copy);
+    // Until a source's first list comes the last one is what is known, or else the configuration's engines.
+    auto known = own_;
+    if (!roster_.keep.empty()) {
+        auto last = roster::read_last_list(roster_.keep);
+        if (last) known = std::move(*last);
+        else events_.log("starting without a last list: " + last.error());
+    }
+    take_list(known, ListForm::warm_copy);
     open_source();
     if (roster_.watch_every > 0) watch();
 }
@@ -22,7 +28,11 @@
 void Engines::open_source() {
     source_ = roster::make_source(loop_, roster_, name_);
     if (source_)
-        source_->start({[this](auto list) { take_list(list, ListForm::total); },
+        source_->start({[this](auto list) {
+                            take_list(list, ListForm::total);
+                            if (roster_.keep.empty()) return;
+                            if (auto kept = roster::keep_last_list(roster_.keep, list); !kept) events_.log(kept.error());
+                        },
                         [this](const std::string& why) {
                             events_.log("the list of engines is lost: " + why);
                             events_.changed({ListForm::lost, {}});
--- a/src/front/engines.hpp
+++ b/src/front/engines.hpp
@@ -11,6 +11,7 @@
 #include "config/settings.hpp"
 #include "decide/engine_watch.hpp"
 #include "http/client.hpp"
+#include "roster/last_list.hpp"
 #include "roster/roster.hpp"
 
 namespace gatetiller::front {
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -8,6 +8,9 @@
 namespace gatetiller::front {
 namespace {
 
+using decide::Happening;
+using decide::Phase;
+
 constexpr double kMega = 1048576.0;
 constexpr Micros kDrainLook = 50 * kMillisecond;
 constexpr Micros kLastPolls = 300 * kMillisecond;  // after the last final answer, for one that was lost
@@ -62,17 +65,14 @@
     std::vector<std::unique_ptr<Attempt>> attempts;
     double grant_mb = 0;
     int priority = 1;
-    bool answered = false;  // the final document is in the server side's hands
-    bool rows_out = false;  // the first row has gone to the client
-    bool closed = false;    // the client has its final document, or has left
+    decide::Life life;
     Ended ended = Ended::failed;
     Outcome last = Outcome::skipped;
     std::string last_error, last_engine;
     statement::Stats stats;
 
-    Attempt* out() {
-        return attempts.empty() || attempts.back()->over ? nullptr : attempts.back().get();
-    }
+    Attempt* out() { return life.out() ? attempts.back().get() : nullptr; }
+    bool flowing() const { return life.phase() == Phase::flowing; }
 };
 
 Front::Front(net::Loop& loop, config::FrontSettings settings, Deps deps)
@@ -156,25 +156,23 @@
 
 void Front::left(const std::string& id, statement::Left how) {
     Running* r = find(id);
-    if (!r || r->closed) return;
+    if (!r || r->life.phase() == Phase::over) return;
     // Where the answer waited unfetched, the work was done all the same: the record says who ended it.
     r->ended = how == statement::Left::abandoned ? Ended::abandoned : Ended::cancelled;
     if (r->ended_at == 0) r->ended_at = loop_.now();
-    r->answered = true;
+    r->life.take(Happening::left);
     post(Gone{id});
     // The module calls off what it may; a stream that had begun is nobody's any more, and ends here.
     if (Attempt* a = r->out(); a && settings_.module.may_cancel) {
         a->call->cancel();
         complete(*a, Outcome::ecanceled, true);
     }
-    final_given(id);
+    finish(*r);
 }
 
 void Front::rows_going_out(const std::string& id) {
     Running* r = find(id);
-    if (!r) return;
-    r->rows_out = true;
-    if (Attempt* a = r->out()) post(Begun{id, a->number});
+    if (r && r->life.take(Happening::rows_given)) post(Begun{id, r->out()->number});
 }
 
 void Front::room(const std::string& id) {
@@ -183,20 +181,23 @@
     if (Attempt* a = r->out()) ask_on(*a);
 }
 
-// The client has its final document, or has left. What is known is written down; the rest is freed once no attempt is
-// out any more.
 void Front::final_given(const std::string& id) {
     Running* r = find(id);
-    if (!r || std::exchange(r->closed, true)) return;
-    holding_.finished(r->user);
-    const Micros now = loop_.now(), ended = r->ended_at > 0 ? r->ended_at : now;
-    Finished f{id, r->submission.context.trace_token, r->user, r->routed.cls, r->routed.tenant, r->last_engine, r->last_error,
-               static_cast<int>(r->attempts.size()), r->ended, (r->first_sent > 0 ? r->first_sent : ended) - r->arrived,
-               r->first_sent > 0 ? ended - r->first_sent : 0, now - ended, now - r->arrived, r->stats.cpu_ms,
-               r->stats.peak_memory_bytes, r->stats.spilled_bytes};
+    if (r && r->life.take(Happening::final_given)) finish(*r);
+}
+
+// The client has its final document, or has left. What is known is written down; the rest is freed once no attempt is
+// out any more.
+void Front::finish(Running& r) {
+    holding_.finished(r.user);
+    const Micros now = loop_.now(), ended = r.ended_at > 0 ? r.ended_at : now;
+    Finished f{r.id, r.submission.context.trace_token, r.user, r.routed.cls, r.routed.tenant, r.last_engine, r.last_error,
+               static_cast<int>(r.attempts.size()), r.ended, (r.first_sent > 0 ? r.first_sent : ended) - r.arrived,
+               r.first_sent > 0 ? ended - r.first_sent : 0, now - ended, now - r.arrived, r.stats.cpu_ms,
+               r.stats.peak_memory_bytes, r.stats.spilled_bytes};
     metrics_.finished(f);
     if (deps_.finished) deps_.finished(f);
-    if (!r->out()) free_later(id);
+    if (r.life.freeable()) free_later(r.id);
 }
 
 // Not at once: the calls that led here still stand on the statement.
@@ -253,7 +254,7 @@
             },
             [&](const Refuse& a) {
                 Running* r = find(a.id);
-                if (!r || r->answered) return;
+                if (!r || r->life.finished()) return;
                 statement::Document d;
                 d.stats = r->stats;
                 d.stats.state = "FAILED";
@@ -264,7 +265,7 @@
             },
             [&](const Fail& a) {
                 Running* r = find(a.id);
-                if (!r || r->answered) return;
+                if (!r || r->life.finished()) return;
                 statement::Document d;
                 d.stats = r->stats;
                 d.stats.state = "FAILED";
@@ -277,9 +278,9 @@
                 Running* r = find(a.id);
                 if (!r || a.attempt < 0 || a.attempt >= static_cast<int>(r->attempts.size())) return;
                 Attempt& attempt = *r->attempts[static_cast<std::size_t>(a.attempt)];
-                if (attempt.over || r->rows_out) return;  // a stream that has begun is not called off
+                if (attempt.over || r->flowing()) return;  // a stream that has begun is not called off
                 attempt.call->cancel();
-                complete(attempt, Outcome::ecanceled, r->answered);
+                complete(attempt, Outcome::ecanceled, r->life.finished());
             },
             [&](const Probe& a) {
                 engines_.probe(a.engine, [this, id = a.engine](Micros taken, Outcome how, std::optional<Report> report) {
@@ -303,9 +304,10 @@
     if (!r) return;
     r->attempts.push_back(std::make_unique<Attempt>(*this, *r, static_cast<int>(r->attempts.size()), action.engine));
     Attempt& a = *r->attempts.back();
+    if (!r->life.take(Happening::sent)) return complete(a, Outcome::skipped, r->life.finished());
     if (r->first_sent == 0) r->first_sent = a.sent;
     Engine* engine = engines_.find(action.engine);
-    if (r->answered || r->rows_out || !engine) return complete(a, r->answered || r->rows_out ? Outcome::skipped : Outcome::econnrefused, r->answered);
+    if (!engine) return complete(a, Outcome::econnrefused, false);
     r->last_engine = engine->settings.name;
     const Micros limit = action.time_out > 0 ? std::min(action.time_out, r->deadline - a.sent) : r->deadline - a.sent;
     // The engine stops by itself at the deadline, whatever becomes of this front.
@@ -316,17 +318,17 @@
     headers.add("User-Agent", "gatetiller/" + settings_.name);
     a.timer = loop_.after(limit, [this, &a] {
         a.timer = 0;
-        if (a.over || a.running.rows_out) return;
+        if (a.over || a.running.flowing()) return;
         a.call->cancel();
         a.running.last_error = "no answer in time";
-        complete(a, Outcome::etimedout, a.running.answered);
+        complete(a, Outcome::etimedout, a.running.life.finished());
     });
     a.call = std::make_unique<statement::EngineCall>(loop_, *engine->client, settings_.calls, a);
     a.call->start(std::move(headers), r->submission.sql);
 }
 
 void Front::answer_finally(Running& r, statement::Document document, Ended ended, Micros come_back) {
-    r.answered = true;
+    r.life.take(Happening::answer);
     r.ended = ended;
     r.ended_at = loop_.now();
     http::Headers headers;
@@ -339,6 +341,7 @@
     if (std::exchange(a.over, true)) return;
     loop_.cancel(std::exchange(a.timer, 0));
     Running& r = a.running;
+    if (outcome != Outcome::skipped) r.life.take(Happening::attempt_over);
     r.last = outcome;
     metrics_.attempt(outcome);
     Completed c{r.id, a.number, a.engine, outcome, loop_.now() - a.sent, finished, 0, 0, a.report};
@@ -347,7 +350,7 @@
         c.needed_mb = static_cast<double>(a.stats.peak_memory_bytes) / kMega;
     }
     post(std::move(c));
-    if (r.closed) free_later(r.id);
+    if (r.life.freeable()) free_later(r.id);
 }
 
 // ---- What engines answer
@@ -407,24 +410,26 @@
     Running& r = a.running;
     const auto verdict = decide::judge(how);
     if (d.error) r.last_error = d.error->message;
-    if (verdict.for_client && !r.answered) {
+    if (verdict.for_client && !r.life.finished()) {
         if (d.columns.empty()) d.columns = a.columns;
-        r.answered = true, r.ended = Ended::served, r.ended_at = loop_.now();
+        r.life.take(Happening::answer);
+        r.ended = Ended::served, r.ended_at = loop_.now();
         complete(a, verdict.outcome, true);
         http::Headers passed;
         statement::pass_response_headers(headers, passed);
         statements_.push(r.id, std::move(d), std::move(passed));
-    } else if (r.rows_out && !r.answered) {
+    } else if (r.flowing()) {
         // Rows have gone out: nothing is tried again, and the client learns that what it has is not whole.
         if (!d.error) d.error = statement::error_named("REMOTE_HOST_GONE", "the engine failed after the first rows");
-        r.answered = true, r.ended = Ended::cut, r.ended_at = loop_.now();
+        r.life.take(Happening::answer);
+        r.ended = Ended::cut, r.ended_at = loop_.now();
         complete(a, verdict.outcome, true);
         d.data.clear(), d.next_uri.clear();
         statements_.push(r.id, std::move(d));
     } else {
         // Rows that wait unfetched are of an attempt that failed: another one brings its own.
-        if (!r.answered) statements_.drop_waiting(r.id);
-        complete(a, verdict.outcome, r.answered);
+        if (!r.life.finished()) statements_.drop_waiting(r.id);
+        complete(a, verdict.outcome, r.life.finished());
     }
 }
 
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "decide/attempt_end.hpp"
+#include "decide/life.hpp"
 #include "decide/notes.hpp"
 #include "decide/patience.hpp"
 #include "front/engines.hpp"
@@ -68,6 +69,7 @@
     void on_end(Attempt& a, const statement::CallEnd& end);
     void end_attempt(Attempt& a, decide::AttemptEnd how, statement::Document answer, const http::Headers& headers);
     void ask_on(Attempt& a);
+    void finish(Running& r);
     void free_later(const std::string& id);
     void finish_drain();
     Running* find(const std::string& id);
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -118,7 +118,7 @@
         json j = script_.front;
         j["name"] = f.name, j["listen"] = {listen}, j["fronts"] = script_.fronts, j["me"] = index;
         j["seed"] = script_.seed * 1000 + static_cast<std::uint64_t>(index);
-        j["roster"] = {{"url", "http://" + list + "/engines"}, {"every", "200ms"}, {"watch_every", "250ms"}};
+        j["roster"] = {{"url", "http://" + list + "/engines"}, {"every", "200ms"}, {"watch_every", "250ms"}, {"keep", options_.folder + "/" + f.name + ".list.json"}};
         j["records"] = options_.folder + "/" + f.name + ".jsonl";
         j["engines"] = json::object();
         for (const auto& e : engines_)
--- a/tests/decide/decide_test.cpp
+++ b/tests/decide/decide_test.cpp
@@ -1,9 +1,13 @@
 #include <gtest/gtest.h>
 
+#include <array>
+#include <set>
+
 #include "base/random.hpp"
 #include "decide/attempt_end.hpp"
 #include "decide/engine_watch.hpp"
 #include "decide/holding.hpp"
+#include "decide/life.hpp"
 #include "decide/notes.hpp"
 #include "decide/patience.hpp"
 #include "decide/routing.hpp"
@@ -114,6 +118,38 @@
     EXPECT_EQ(w.entry().state, EngineState::fading);  // still starting
 }
 
+TEST(Life, WhateverHappensInWhateverOrderItsPromisesHold) {
+    constexpr std::array kAll = {Happening::sent, Happening::rows_given, Happening::attempt_over, Happening::answer, Happening::final_given, Happening::left};
+    std::set<std::pair<Phase, bool>> reached;
+    for (std::uint64_t seed = 1; seed <= 5000; ++seed) {
+        Random random(seed);
+        Life life;
+        int answers = 0, ends = 0, rows = 0;
+        bool had_rows = false;
+        for (int i = 0; i < 30; ++i) {
+            const Happening h = kAll[random.below(kAll.size())];
+            const Life before = life;
+            if (!life.take(h)) {
+                EXPECT_EQ(life.phase(), before.phase()) << "seed " << seed;
+                continue;
+            }
+            answers += h == Happening::answer;
+            rows += h == Happening::rows_given;
+            ends += h == Happening::final_given || h == Happening::left;
+            if (h == Happening::sent) {
+                EXPECT_FALSE(before.out() || before.finished() || had_rows) << "seed " << seed;  // one at a time, none after rows or an answer
+            }
+            had_rows = had_rows || h == Happening::rows_given;
+            EXPECT_LE(answers, 1);
+            EXPECT_LE(ends, 1);
+            EXPECT_LE(rows, 1);
+            EXPECT_EQ(life.freeable(), life.phase() == Phase::over && !life.out());
+            reached.insert({life.phase(), life.out()});
+        }
+    }
+    EXPECT_EQ(reached.size(), 8u);  // every phase with and without an attempt out, but held with and trying without one
+}
+
 TEST(Notes, ProgressComesOnceAPeriodAndNewsAtOnce) {
     Notes notes(1000, 100);
     const auto topics = [&](Micros now, const Seen& seen) {
--- a/tests/front/hard_cases_test.cpp
+++ b/tests/front/hard_cases_test.cpp
@@ -257,6 +257,32 @@
     w.expect_rules_kept();
 }
 
+TEST(HardCases, AFrontThatComesBackWhileTheListIsOutOfReachServesByItsLastOne) {
+    const std::string kept = ::testing::TempDir() + "kept-" + std::to_string(::getpid()) + ".json";
+    Whole w(1, "engines: { gone: g.engine('127.0.0.1:1') }, roster+: { keep: '" + kept + "' }");
+    // The configuration knows an engine that isn't there; the list knows the one that is.
+    const std::string engine = w.address(0).text();
+    bool down = false;
+    http::Server list(w.loop, {}, [&](http::Request&, http::Server::Reply reply) {
+        if (down) return reply.send({503, {}, ""});
+        reply.send({200, {}, "{\"engines\": {\"e0\": {\"address\": \"" + engine + "\", \"kind\": \"std\"}}}"});
+    });
+    w.settings.roster.http = *list.listen(*net::Address::parse("127.0.0.1:0"));
+    w.settings.roster.path = "/engines";
+    w.restart();
+    Asked& first = w.ask("SELECT 1 /* gt: work_ms=5 */");
+    ASSERT_TRUE(w.until([&] { return first.ended; }));
+    EXPECT_EQ(first.error(), "");
+    down = true;
+    w.restart();
+    for (int i = 0; i < 5; ++i) w.ask("SELECT 1 /* gt: work_ms=5 */");
+    ASSERT_TRUE(w.until([&] { return std::all_of(w.asked.begin(), w.asked.end(), [](auto& a) { return a->ended; }); }));
+    for (const auto& a : w.asked) EXPECT_EQ(a->error(), "");
+    EXPECT_EQ(w.front().engines().all().size(), 1u);
+    w.expect_rules_kept();
+    ::unlink(kept.c_str());
+}
+
 TEST(HardCases, AnOlderClientIsAnsweredInItsFamilyAndAnEnginesSessionHeadersArePassedOn) {
     // An engine written out by hand: two documents, with headers that a gateway passes on and one that it doesn't.
     Whole w(0, "engines: { e0: g.engine('127.0.0.1:1') }");
--- a/tests/front/whole.hpp
+++ b/tests/front/whole.hpp
@@ -185,6 +185,7 @@
         for (const auto& e : journal) n += e.event == event && (trace.empty() || e.trace == trace);
         return n;
     }
+    const net::Address& address(std::size_t i) const { return addresses_[i]; }
     engine::Service& engine(std::size_t i) { return *engines_[i]; }
     front::Front& front() { return *front_; }
 
--- a/tests/roster/roster_test.cpp
+++ b/tests/roster/roster_test.cpp
@@ -1,6 +1,8 @@
 // Lists of engines that change, come late, break off and come back.
 #include "roster/roster.hpp"
 
+#include "roster/last_list.hpp"
+
 #include <gtest/gtest.h>
 
 #include <filesystem>
@@ -99,5 +101,25 @@
     EXPECT_EQ(last.size(), 2u);
 }
 
+TEST(LastList, ComesBackWholeAndIsPassedOverWhereItIsTornAtAnyByte) {
+    const std::string file = ::testing::TempDir() + "last-" + std::to_string(::getpid()) + ".json";
+    EXPECT_FALSE(read_last_list(file));
+    const auto list = *config::read_engine_list(list_of({"a", "b", "c"}, "fading"), "l");
+    ASSERT_TRUE(keep_last_list(file, list));
+    const auto back = read_last_list(file);
+    ASSERT_TRUE(back) << back.error();
+    ASSERT_EQ(back->size(), 3u);
+    EXPECT_EQ(back->at(1).name, "b");
+    EXPECT_EQ(back->at(1).state, EngineState::fading);
+    EXPECT_EQ(back->at(1).address, list[1].address);
+    const std::string text = *config::whole_file(file);
+    for (std::size_t n = 0; n + 2 < text.size(); ++n) {  // the last brace and the line's end are not missed
+        std::ofstream(file, std::ios::trunc) << text.substr(0, n);
+        EXPECT_FALSE(read_last_list(file)) << n;
+    }
+    EXPECT_FALSE(keep_last_list("/nowhere/at/all", list));
+    std::filesystem::remove(file);
+}
+
 }  // namespace
 }  // namespace gatetiller::roster
