--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -77,8 +77,7 @@
 void read_facts(Reader& r, Settings& m) {
     r.flag("grants", m.grants);
     r.flag("priorities", m.priorities);
-    r.word<WhenShort>("when_short", m.when_short,
-                      {{"queue", WhenShort::queue}, {"trim", WhenShort::trim}, {"swap", WhenShort::swap}});
+    read_when_short(r, m.when_short);
     r.flag("cost_in_answers", m.cost_in_answers);
     r.span("note_period", m.note_period);
     r.word<ReportSource>("reports", m.reports,
@@ -291,6 +290,10 @@
 
 }  // namespace
 
+void read_when_short(Reader& r, WhenShort& to) {
+    r.word<WhenShort>("when_short", to, {{"queue", WhenShort::queue}, {"trim", WhenShort::trim}, {"swap", WhenShort::swap}});
+}
+
 Result<std::string> whole_file(const std::string& file) {
     std::ifstream in(file, std::ios::binary);
     std::ostringstream text;
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -60,6 +60,9 @@
     LogSettings log;
 };
 
+class Reader;
+void read_when_short(Reader& reader, WhenShort& to);  // the key when_short, of fronts and of stand-in engines alike
+
 struct Loaded {
     FrontSettings front;
     std::string json;  // what the templates came to
--- a/src/engine/config.cpp
+++ b/src/engine/config.cpp
@@ -15,8 +15,7 @@
     r.number("past_knee", m.past_knee, 0, 100);
     r.number("sessions_per_core", m.sessions_per_core, 0.1, 1e4);
     r.number("spill_cost", m.spill_cost, 1, 100);
-    r.word<WhenShort>("when_short", m.when_short,
-                      {{"queue", WhenShort::queue}, {"trim", WhenShort::trim}, {"swap", WhenShort::swap}});
+    config::read_when_short(r, m.when_short);
     r.number("largest_share", m.largest_share, 0.01, 1);
     r.number("warm_groups", m.warm_groups, 0, 1e6);
     r.number("warm_saves", m.warm_saves, 0, 1);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "statement/json.hpp"
 #include "statement/load_report.hpp"
 
 namespace gatetiller::front {
@@ -222,7 +223,16 @@
 }
 
 std::string Front::status_members() {
-    return ",\"statements\":" + std::to_string(running_.size()) + ",\"waitingBytes\":" + std::to_string(statements_.waiting_in_all()) +
+    std::string engines;
+    for (const auto& [number, e] : engines_.all()) {
+        const auto state = e->watch.entry().state;
+        engines += (engines.empty() ? "" : ",") + ("{\"name\":" + statement::json_string(e->settings.name)) + ",\"address\":" +
+                   statement::json_string(e->settings.address.text()) + ",\"state\":" +
+                   (state == EngineState::on ? "\"on\"" : state == EngineState::fading ? "\"fading\"" : "\"off\"") + ",\"connections\":" +
+                   std::to_string(e->client->open()) + "}";
+    }
+    return ",\"engines\":[" + engines + "]"
+           ",\"statements\":" + std::to_string(running_.size()) + ",\"waitingBytes\":" + std::to_string(statements_.waiting_in_all()) +
            ",\"connections\":" + std::to_string(server_.connections()) + ",\"alpha\":" + std::to_string(brain_.alpha());
 }
 
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <set>
@@ -44,6 +45,7 @@
 
     Result<DayResult> run() {
         if (auto ready = start(); !ready) return Error{ready.error()};
+        loop_.on_signals({SIGINT, SIGTERM}, [this](int) { interrupted_ = true; });
         const Micros began = loop_.now();
         Load load(loop_, script_.traffic, settings_.classes, random_.next(), [this](const ClientRecord& r) { records_out_ << line_of(r); });
         load_ = &load;
@@ -52,7 +54,7 @@
         load.start(targets, script_.length);
         for (const Trouble& t : script_.troubles) loop_.after(t.at, [this, t] { begin(t); });
         const Micros end = began + script_.length + script_.settle;
-        while (loop_.now() < began + script_.length || (!load.over() && loop_.now() < end)) {
+        while (!interrupted_ && (loop_.now() < began + script_.length || (!load.over() && loop_.now() < end))) {
             loop_.turn(50 * kMillisecond);
             if (loop_.now() >= began + script_.length && !calm_) calm();
         }
@@ -61,6 +63,7 @@
         result.asked = load.asked(), result.outcomes = load.outcomes(), result.latencies_ms = load.latencies_ms();
         load_ = nullptr;
         stop();
+        if (interrupted_) return Error{"interrupted: the day is not judged; its records are in " + options_.folder};
         auto records = load_records({options_.folder});
         if (!records) return Error{records.error()};
         result.judgement = judge(*records);
@@ -378,7 +381,7 @@
     std::map<std::uint64_t, std::function<void()>> ends_;
     std::uint64_t last_end_ = 0;
     Load* load_ = nullptr;
-    bool list_down_ = false, calm_ = false;
+    bool list_down_ = false, calm_ = false, interrupted_ = false;
 };
 
 double percentile(std::vector<double> sorted, double p) {
--- a/tests/front/whole.hpp
+++ b/tests/front/whole.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/await.hpp"
 #include "engine/service.hpp"
 #include "front/front.hpp"
 #include "lab/checker.hpp"
@@ -164,12 +165,8 @@
         return h;
     }
     template <typename Condition>
-    [[nodiscard]] bool until(Condition condition, Micros limit = kLimit) {
-        for (const Micros end = loop.now() + limit; !condition();) {
-            if (loop.now() >= end) return false;
-            loop.turn(10 * kMillisecond);
-        }
-        return true;
+    [[nodiscard]] bool until(Condition condition) {
+        return await(loop, condition, kLimit);
     }
     // One exchange, awaited.
     http::Answer exchange(const std::string& method, const std::string& target, const std::string& body = "",
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -1,6 +1,7 @@
 // The server and the client over real sockets.
 #include <gtest/gtest.h>
 
+#include "base/await.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "net/poll_loop.hpp"
@@ -35,13 +36,7 @@
         address = *server->listen(*net::Address::parse(at));
     }
     template <typename C>
-    bool until(C condition) {
-        for (const Micros end = loop.now() + 20 * kSecondMicros; !condition();) {
-            if (loop.now() >= end) return false;
-            loop.turn(10 * kMillisecond);
-        }
-        return true;
-    }
+    bool until(C condition) { return gatetiller::testing::await(loop, condition); }
     net::PollLoop loop;
     net::Address address;
     std::vector<std::string> targets;
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 
+#include "base/await.hpp"
 #include "net/poll_loop.hpp"
 
 namespace gatetiller::net {
@@ -24,13 +25,7 @@
 class LoopTest : public ::testing::Test {
 protected:
     template <typename C>
-    bool until(C condition) {
-        for (const Micros end = loop.now() + 20 * kSecondMicros; !condition();) {
-            if (loop.now() >= end) return false;
-            loop.turn(10 * kMillisecond);
-        }
-        return true;
-    }
+    bool until(C condition) { return gatetiller::testing::await(loop, condition); }
     void join() {
         auto listening = loop.listen(*Address::parse("127.0.0.1:0"), [this](auto s) {
             server.stream = std::move(s);
--- a/tests/roster/roster_test.cpp
+++ b/tests/roster/roster_test.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "base/await.hpp"
 #include "http/server.hpp"
 #include "net/poll_loop.hpp"
 
@@ -27,13 +28,7 @@
         source->start({[this](auto list) { last = std::move(list), ++lists; }, [this](const std::string& why) { reason = why, ++lost; }});
     }
     template <typename C>
-    bool until(C condition) {
-        for (const Micros end = loop.now() + 20 * kSecondMicros; !condition();) {
-            if (loop.now() >= end) return false;
-            loop.turn(5 * kMillisecond);
-        }
-        return true;
-    }
+    bool until(C condition) { return gatetiller::testing::await(loop, condition); }
     net::PollLoop loop;
     std::unique_ptr<Source> source;
     std::vector<config::EngineSettings> last;
