--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -10,11 +10,13 @@
 
 constexpr std::size_t kLargestList = 8 << 20;
 
-// The whole file is read each time: a change of the time stamp alone is not to be trusted where a file is replaced
-// twice within its resolution. A file that is being written reads as not JSON, and the last list stays.
+// The whole file is read each time: a change of the time stamp alone is not to be trusted where a file is
+// replaced twice within its resolution. A file that is being written reads as not JSON, and the last list
+// stays.
 class FileSource final : public Source {
 public:
-    FileSource(net::Loop& loop, std::string file, Micros every) : loop_(loop), file_(std::move(file)), every_(every) {}
+    FileSource(net::Loop& loop, std::string file, Micros every)
+        : loop_(loop), file_(std::move(file)), every_(every) {}
     ~FileSource() override { loop_.cancel(timer_); }
     void start(Events events) override {
         events_ = std::move(events);
@@ -31,7 +33,8 @@
         std::ifstream in(file_, std::ios::binary);
         std::ostringstream text;
         if (in) text << in.rdbuf();
-        if (!in || text.str().size() > kLargestList) return lose(file_ + ": cannot be read: " + std::strerror(errno));
+        if (!in || text.str().size() > kLargestList)
+            return lose(file_ + ": cannot be read: " + std::strerror(errno));
         if (!lost_ && text.str() == last_) return;
         auto list = config::read_engine_list(text.str(), file_);
         if (!list) return lose(list.error());
@@ -54,8 +57,11 @@
 class HttpSource final : public Source {
 public:
     HttpSource(net::Loop& loop, net::Address server, std::string path, std::string name, Micros every)
-        : loop_(loop), client_(loop, std::move(server), {.limits = {.body = kLargestList}}), path_(std::move(path)),
-          name_(std::move(name)), every_(every) {}
+        : loop_(loop),
+          client_(loop, std::move(server), {.limits = {.body = kLargestList}}),
+          path_(std::move(path)),
+          name_(std::move(name)),
+          every_(every) {}
     ~HttpSource() override { loop_.cancel(timer_); }
     void start(Events events) override {
         events_ = std::move(events);
@@ -73,7 +79,8 @@
         http::Request get{"GET", path_, 1, {}, {}, {}};
         get.headers.add("User-Agent", "gatetiller/" + name_);
         if (!tag_.empty()) get.headers.add("If-None-Match", tag_);
-        call_ = client_.send(get, std::max(every_, kSecondMicros), [this](http::Answer a) { take(std::move(a)); });
+        call_ = client_.send(get, std::max(every_, kSecondMicros),
+                             [this](http::Answer a) { take(std::move(a)); });
     }
     void take(http::Answer a) {
         timer_ = loop_.after(every_, [this] { fetch(); });
@@ -108,7 +115,8 @@
 
 }  // namespace
 
-std::unique_ptr<Source> make_source(net::Loop& loop, const config::RosterSettings& s, const std::string& name) {
+std::unique_ptr<Source> make_source(net::Loop& loop, const config::RosterSettings& s,
+                                    const std::string& name) {
     if (s.http) return std::make_unique<HttpSource>(loop, *s.http, s.path, name, s.every);
     if (!s.file.empty()) return std::make_unique<FileSource>(loop, s.file, s.every);
     return nullptr;
--- a/src/statement/client.cpp
+++ b/src/statement/client.cpp
@@ -3,7 +3,8 @@
 namespace gatetiller::statement {
 
 struct StatementClient::Listener final : EngineCall::Events {
-    Listener(net::Loop& loop, http::Client& http, EngineCallOptions options) : call(loop, http, options, *this) {}
+    Listener(net::Loop& loop, http::Client& http, EngineCallOptions options)
+        : call(loop, http, options, *this) {}
     void on_document(EngineCall& c, Document d, const http::Headers& headers) override {
         if (events.document) events.document(d);
         if (!d.final()) return c.next();
--- a/src/statement/client.hpp
+++ b/src/statement/client.hpp
@@ -1,5 +1,6 @@
-// A client of the statement API, as client libraries are: it sends a statement, follows nextUri to the final document,
-// asks again where the protocol says so, and can leave at any point. For `gatetiller query`, the lab and tests.
+// A client of the statement API, as client libraries are: it sends a statement, follows nextUri to the final
+// document, asks again where the protocol says so, and can leave at any point. For `gatetiller query`, the
+// lab and tests.
 #pragma once
 
 #include <functional>
@@ -28,9 +29,9 @@
     StatementClient(net::Loop& loop, http::Client& http, EngineCallOptions options);
     ~StatementClient();
     void start(http::Headers headers, std::string sql, Events events);
-    void cancel();   // DELETE, and no further call
+    void cancel();     // DELETE, and no further call
     void ask_again();  // loses the answer of the poll in flight, and polls anew
-    void abandon();  // no word to the server, and no further call
+    void abandon();    // no word to the server, and no further call
 
 private:
     struct Listener;
--- a/src/statement/context.cpp
+++ b/src/statement/context.cpp
@@ -7,9 +7,11 @@
 namespace {
 
 constexpr std::string_view kFamilies[] = {"X-Trino-", "X-Presto-"};
-constexpr std::string_view kPassedBack[] = {"Set-Catalog", "Set-Schema", "Set-Path", "Set-Session", "Clear-Session",
-                                            "Set-Role", "Added-Prepare", "Deallocated-Prepare",
-                                            "Started-Transaction-Id", "Clear-Transaction-Id"};
+constexpr std::string_view kPassedBack[] = {
+    "Set-Catalog",         "Set-Schema",          "Set-Path",
+    "Set-Session",         "Clear-Session",       "Set-Role",
+    "Added-Prepare",       "Deallocated-Prepare", "Started-Transaction-Id",
+    "Clear-Transaction-Id"};
 
 bool in_family(std::string_view name, std::string_view family) {
     return name.size() > family.size() && same_word(name.substr(0, family.size()), family);
@@ -22,7 +24,8 @@
         if (!same_word(key, name)) continue;
         for (const auto part : split(value, ','))
             if (const std::size_t equals = part.find('='); equals != std::string_view::npos)
-                take(std::string(trimmed(part.substr(0, equals))), std::string(trimmed(part.substr(equals + 1))));
+                take(std::string(trimmed(part.substr(0, equals))),
+                     std::string(trimmed(part.substr(equals + 1))));
     }
 }
 
@@ -49,7 +52,8 @@
     for (const char c : text) {
         const auto u = static_cast<unsigned char>(c);
         const char l = lower(c);
-        if ((l >= 'a' && l <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.' || c == '~') out += c;
+        if ((l >= 'a' && l <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.' || c == '~')
+            out += c;
         else out += '%', out += kHex[u >> 4], out += kHex[u & 15];
     }
     return out;
@@ -62,7 +66,9 @@
             c.prefix = family;
             break;
         }
-    const auto text = [&](std::string_view name) { return std::string(headers.find(c.prefix + std::string(name)).value_or("")); };
+    const auto text = [&](std::string_view name) {
+        return std::string(headers.find(c.prefix + std::string(name)).value_or(""));
+    };
     c.user = text("User");
     if (c.user.empty()) return Error{"the header X-Trino-User is missing: set it to the user's name"};
     c.source = text("Source");
@@ -78,17 +84,18 @@
         c.session[std::move(name)] = url_decoded(value);
     });
     std::string wrong;
-    each_pair(headers, c.prefix + "Resource-Estimate", [&](const std::string& name, const std::string& value) {
-        if (name == "CPU_TIME" || name == "EXECUTION_TIME") {
-            const auto span = parse_span(value);
-            if (!span) wrong = name + ": " + span.error();
-            else if (name == "CPU_TIME" || c.cpu_estimate == 0) c.cpu_estimate = *span;
-        } else if (name == "PEAK_MEMORY") {
-            const auto size = parse_bytes(value);
-            if (!size) wrong = name + ": " + size.error();
-            else c.memory_estimate = *size;
-        }
-    });
+    each_pair(headers, c.prefix + "Resource-Estimate",
+              [&](const std::string& name, const std::string& value) {
+                  if (name == "CPU_TIME" || name == "EXECUTION_TIME") {
+                      const auto span = parse_span(value);
+                      if (!span) wrong = name + ": " + span.error();
+                      else if (name == "CPU_TIME" || c.cpu_estimate == 0) c.cpu_estimate = *span;
+                  } else if (name == "PEAK_MEMORY") {
+                      const auto size = parse_bytes(value);
+                      if (!size) wrong = name + ": " + size.error();
+                      else c.memory_estimate = *size;
+                  }
+              });
     for (const char* name : {"query_max_run_time", "query_max_execution_time"})
         if (const auto found = c.session.find(name); found != c.session.end()) {
             const auto span = parse_span(found->second);
@@ -106,7 +113,8 @@
         if (!same_word(key, context.prefix + "Session")) out.add(key, value);
     auto all = context.session;
     for (const auto& [name, value] : set) all[name] = value;
-    for (const auto& [name, value] : all) session += (session.empty() ? "" : ",") + name + "=" + url_encoded(value);
+    for (const auto& [name, value] : all)
+        session += (session.empty() ? "" : ",") + name + "=" + url_encoded(value);
     if (!session.empty()) out.add(context.prefix + "Session", session);
     return out;
 }
--- a/src/statement/context.hpp
+++ b/src/statement/context.hpp
@@ -18,12 +18,13 @@
     std::map<std::string, std::string> session;  // values URL-decoded
     Micros cpu_estimate = 0;                     // X-Trino-Resource-Estimate; 0: not told
     double memory_estimate = 0;                  // bytes
-    Micros run_limit = 0;   // the shorter of query_max_run_time and query_max_execution_time; 0: none
-    http::Headers passed;   // the family's headers as they came, for the engine
+    Micros run_limit = 0;  // the shorter of query_max_run_time and query_max_execution_time; 0: none
+    http::Headers passed;  // the family's headers as they came, for the engine
 };
 
 Result<Context> read_context(const http::Headers& headers);
-// The headers of a statement on its way to an engine, with these session properties set over the client's own.
+// The headers of a statement on its way to an engine, with these session properties set over the client's
+// own.
 http::Headers engine_headers(const Context& context, const std::map<std::string, std::string>& set);
 // Response headers of the engine's family that a gateway passes through.
 void pass_response_headers(const http::Headers& from, http::Headers& to);
--- a/src/statement/document.cpp
+++ b/src/statement/document.cpp
@@ -122,10 +122,18 @@
         raw("error", d.error_text);
     } else if (d.error) {
         const StatementError& e = *d.error;
-        out.append(",\"error\":{\"message\":").append(json_string(e.message)).append(",\"errorCode\":")
-            .append(std::to_string(e.code)).append(",\"errorName\":").append(json_string(e.name))
-            .append(",\"errorType\":").append(json_string(e.type)).append(",\"failureInfo\":{\"type\":")
-            .append(json_string("gatetiller." + e.name)).append(",\"message\":").append(json_string(e.message))
+        out.append(",\"error\":{\"message\":")
+            .append(json_string(e.message))
+            .append(",\"errorCode\":")
+            .append(std::to_string(e.code))
+            .append(",\"errorName\":")
+            .append(json_string(e.name))
+            .append(",\"errorType\":")
+            .append(json_string(e.type))
+            .append(",\"failureInfo\":{\"type\":")
+            .append(json_string("gatetiller." + e.name))
+            .append(",\"message\":")
+            .append(json_string(e.message))
             .append(",\"suppressed\":[],\"stack\":[]}}");
     }
     raw("warnings", d.warnings.empty() ? "[]" : d.warnings);
@@ -139,8 +147,8 @@
         std::string_view name, type;
         std::int64_t code;
     };
-    // From the public table of standard error codes: user errors from 0, internal ones from 65536, shortage from
-    // 131072.
+    // From the public table of standard error codes: user errors from 0, internal ones from 65536, shortage
+    // from 131072.
     constexpr Known kKnown[] = {{"USER_CANCELED", "USER_ERROR", 3},
                                 {"ABANDONED_QUERY", "USER_ERROR", 8},
                                 {"GENERIC_USER_ERROR", "USER_ERROR", 0},
--- a/src/statement/document.hpp
+++ b/src/statement/document.hpp
@@ -1,5 +1,5 @@
-// statement: the Trino statement API (HTTP with polling), both sides. It decides nothing: who may run, where and how
-// often is the front's. This file: its documents. Source: the public client protocol's pages.
+// statement: the Trino statement API (HTTP with polling), both sides. It decides nothing: who may run, where
+// and how often is the front's. This file: its documents. Source: the public client protocol's pages.
 #pragma once
 
 #include <cstdint>
@@ -36,7 +36,9 @@
 
     bool final() const { return next_uri.empty(); }
     bool has_rows() const { return data.size() > 2; }
-    std::size_t held_bytes() const { return columns.size() + data.size() + error_text.size() + stats_text.size(); }
+    std::size_t held_bytes() const {
+        return columns.size() + data.size() + error_text.size() + stats_text.size();
+    }
 };
 
 Result<Document> read_document(std::string_view text);
--- a/src/statement/engine_call.cpp
+++ b/src/statement/engine_call.cpp
@@ -7,8 +7,8 @@
 
 EngineCall::~EngineCall() { loop_.cancel(again_); }
 
-// Engines name absolute URIs by what the front called them; only the path counts, since the front knows where the
-// engine is and must not be sent elsewhere.
+// Engines name absolute URIs by what the front called them; only the path counts, since the front knows where
+// the engine is and must not be sent elsewhere.
 std::string EngineCall::path_of(const std::string& uri) {
     const std::size_t scheme = uri.find("://");
     const std::size_t path = uri.find('/', scheme == std::string::npos ? 0 : scheme + 3);
@@ -21,13 +21,14 @@
     http::Request post{"POST", "/v1/statement", 1, std::move(headers), std::move(sql), {}};
     const auto cancelled = cancelled_;
     auto& client = client_;
-    call_ = client_.send(post, options_.answer_time_out,
-                         [this, cancelled, &client, head = headers_, time_out = options_.answer_time_out](http::Answer a) {
-                             if (!*cancelled) return on_post(std::move(a));
-                             if (a.reached != http::Reached::answered || a.response.status != 200) return;
-                             const auto d = read_document(a.response.body);
-                             if (d && !d->final()) send_delete(client, head, path_of(d->next_uri), time_out);
-                         });
+    call_ = client_.send(
+        post, options_.answer_time_out,
+        [this, cancelled, &client, head = headers_, time_out = options_.answer_time_out](http::Answer a) {
+            if (!*cancelled) return on_post(std::move(a));
+            if (a.reached != http::Reached::answered || a.response.status != 200) return;
+            const auto d = read_document(a.response.body);
+            if (d && !d->final()) send_delete(client, head, path_of(d->next_uri), time_out);
+        });
 }
 
 void EngineCall::end(CallEnd how) {
@@ -48,14 +49,16 @@
     }
     if (a.response.status != 200) {
         const auto after = to_number<Micros>(a.response.headers.find("Retry-After").value_or(""));
-        return end({How::turned_away, a.response.status, a.response.body.substr(0, 200), after.value_or(0) * kSecondMicros});
+        return end({How::turned_away, a.response.status, a.response.body.substr(0, 200),
+                    after.value_or(0) * kSecondMicros});
     }
     take(a);
 }
 
 void EngineCall::take(http::Answer& a) {
     auto document = read_document(a.response.body);
-    if (!document) return end({CallEnd::How::lost, 0, "a document that can't be read: " + document.error(), 0});
+    if (!document)
+        return end({CallEnd::How::lost, 0, "a document that can't be read: " + document.error(), 0});
     const bool final = document->final();
     if (!final) {
         next_ = path_of(document->next_uri);
--- a/src/statement/engine_call.hpp
+++ b/src/statement/engine_call.hpp
@@ -1,5 +1,5 @@
-// The engine side: one statement on one engine, from its POST to its last document, or to its cancelling. Reads the
-// engine's documents one at a time and asks for the next only when told to.
+// The engine side: one statement on one engine, from its POST to its last document, or to its cancelling.
+// Reads the engine's documents one at a time and asks for the next only when told to.
 #pragma once
 
 #include <functional>
--- a/src/statement/json.cpp
+++ b/src/statement/json.cpp
@@ -60,7 +60,9 @@
     }
 
 private:
-    Error wrong(const char* what) const { return Error{"not JSON at byte " + std::to_string(at_) + ": " + what}; }
+    Error wrong(const char* what) const {
+        return Error{"not JSON at byte " + std::to_string(at_) + ": " + what};
+    }
     bool word(std::string_view w) {
         if (text_.substr(at_, w.size()) != w) return false;
         at_ += w.size();
@@ -185,7 +187,8 @@
                 std::uint32_t c = four_hex(raw.substr(i + 1));
                 i += 4;
                 if (c >= 0xd800 && c < 0xdc00 && raw.substr(std::min(i + 1, raw.size()), 2) == "\\u") {
-                    if (const std::uint32_t low = four_hex(raw.substr(i + 3)); low >= 0xdc00 && low < 0xe000) {
+                    if (const std::uint32_t low = four_hex(raw.substr(i + 3));
+                        low >= 0xdc00 && low < 0xe000) {
                         c = 0x10000 + ((c - 0xd800) << 10) + (low - 0xdc00);
                         i += 6;
                     }
--- a/src/statement/json.hpp
+++ b/src/statement/json.hpp
@@ -1,5 +1,6 @@
-// Splits a JSON object into its members without building a tree: a page of rows passes through a front as the bytes
-// that the engine wrote. The whole text is checked against RFC 8259 on the way, so that nothing broken is passed on.
+// Splits a JSON object into its members without building a tree: a page of rows passes through a front as the
+// bytes that the engine wrote. The whole text is checked against RFC 8259 on the way, so that nothing broken
+// is passed on.
 #pragma once
 
 #include <cstdint>
--- a/src/statement/load_report.cpp
+++ b/src/statement/load_report.cpp
@@ -6,9 +6,14 @@
 namespace {
 
 constexpr std::pair<std::string_view, std::optional<double> Report::*> kReportParts[] = {
-    {"concurrent", &Report::concurrent}, {"depth", &Report::depth},       {"load_share", &Report::load_share},
-    {"mean_ms", &Report::mean_ms},       {"tps", &Report::tps},           {"err_ps", &Report::err_ps},
-    {"memory_granted", &Report::memory_granted}, {"disks_busy", &Report::disks_busy}};
+    {"concurrent", &Report::concurrent},
+    {"depth", &Report::depth},
+    {"load_share", &Report::load_share},
+    {"mean_ms", &Report::mean_ms},
+    {"tps", &Report::tps},
+    {"err_ps", &Report::err_ps},
+    {"memory_granted", &Report::memory_granted},
+    {"disks_busy", &Report::disks_busy}};
 
 }  // namespace
 
--- a/src/statement/load_report.hpp
+++ b/src/statement/load_report.hpp
@@ -1,5 +1,5 @@
-// What an engine says of its load, in a header of its own on any answer: comma-separated name=value parts. Engines that
-// don't send it are simply not heard of.
+// What an engine says of its load, in a header of its own on any answer: comma-separated name=value parts.
+// Engines that don't send it are simply not heard of.
 #pragma once
 
 #include <optional>
--- a/src/statement/server.cpp
+++ b/src/statement/server.cpp
@@ -36,8 +36,12 @@
 
 ServerSide::ServerSide(net::Loop& loop, ServerSideOptions options, Backend& backend,
                        std::function<std::string()> entropy)
-    : loop_(loop), options_(std::move(options)), backend_(backend), entropy_(std::move(entropy)),
-      started_(loop.now()), run_(entropy_().substr(0, 5)) {
+    : loop_(loop),
+      options_(std::move(options)),
+      backend_(backend),
+      entropy_(std::move(entropy)),
+      started_(loop.now()),
+      run_(entropy_().substr(0, 5)) {
     sweeping_ = loop_.after(kSweep, [this] { sweep(); });
 }
 
@@ -79,7 +83,9 @@
 
 void ServerSide::submit(http::Request& request, http::Server::Reply& reply) {
     auto context = read_context(request.headers);
-    if (!context) return answer(reply, text_response(context.error().find("User") != std::string::npos ? 401 : 400, context.error()));
+    if (!context)
+        return answer(reply, text_response(context.error().find("User") != std::string::npos ? 401 : 400,
+                                           context.error()));
     if (request.body.find_first_not_of(" \t\r\n") == std::string::npos)
         return answer(reply, text_response(400, "the body is empty: send the statement's text in it"));
     std::string count = std::to_string(++last_);
@@ -95,7 +101,8 @@
     first.id = id, first.info_uri = s.base + std::string(kQuery) + id, first.next_uri = uri(id, s, 1);
     first.stats.queued = true;
     http::Response response = json_response(200, write_document(first));
-    if (auto refused = backend_.submit(id, {std::move(*context), std::move(request.body), std::move(request.peer)})) {
+    if (auto refused =
+            backend_.submit(id, {std::move(*context), std::move(request.body), std::move(request.peer)})) {
         by_asking_.erase(s.place);
         sessions_.erase(id);
         return answer(reply, std::move(*refused));
@@ -134,7 +141,8 @@
 }
 
 void ServerSide::poll(const std::string& id, Session& s, http::Server::Reply& reply) {
-    // The same poll again while the first is held: its client has given up on it, the newer one gets the answer.
+    // The same poll again while the first is held: its client has given up on it, the newer one gets the
+    // answer.
     if (s.held) {
         auto older = std::move(*s.held);
         s.held.reset();
@@ -145,8 +153,9 @@
     const std::uint64_t serial = s.held_serial = ++held_;
     const auto mine = [this, id, serial]() -> Session* {
         const auto found = sessions_.find(id);
-        return found != sessions_.end() && found->second.held && found->second.held_serial == serial ? &found->second
-                                                                                                     : nullptr;
+        return found != sessions_.end() && found->second.held && found->second.held_serial == serial
+                   ? &found->second
+                   : nullptr;
     };
     s.held->on_gone([this, mine] {
         if (Session* held = mine()) {
@@ -182,7 +191,8 @@
     if (s.waiting.front().document.has_rows() && !std::exchange(s.rows_out, true)) {
         backend_.rows_going_out(id);
         // What that led to may have ended the statement.
-        if (!sessions_.contains(id) || s.waiting.empty()) return answer(reply, text_response(503, "try again"));
+        if (!sessions_.contains(id) || s.waiting.empty())
+            return answer(reply, text_response(503, "try again"));
     }
     Waiting next = std::move(s.waiting.front());
     s.waiting.pop_front();
@@ -243,8 +253,9 @@
     Document d;
     d.stats.state = "FAILED";
     d.error = how == Left::abandoned
-                  ? error_named("ABANDONED_QUERY", "the client has not asked for " +
-                                                       std::to_string(options_.abandoned_after / kSecondMicros) + " s")
+                  ? error_named("ABANDONED_QUERY",
+                                "the client has not asked for " +
+                                    std::to_string(options_.abandoned_after / kSecondMicros) + " s")
                   : error_named("USER_CANCELED", "the statement was cancelled");
     if (how == Left::abandoned) {
         s.final_queued = true;
@@ -266,7 +277,8 @@
     s.sql = {};
     finished_.emplace_back(loop_.now(), id);
     finished_bytes_ += s.latest.body.size() + kKeptOverhead;
-    while (finished_bytes_ > options_.finished_bytes && finished_.size() > 1) forget(finished_.front().second);
+    while (finished_bytes_ > options_.finished_bytes && finished_.size() > 1)
+        forget(finished_.front().second);
 }
 
 void ServerSide::forget(const std::string& id) {
@@ -304,11 +316,12 @@
     if (request.method != "GET") return answer(reply, text_response(405, "GET or DELETE"));
     const Stats stats = s.finished ? Stats{.state = s.error_name.empty() ? "FINISHED" : "FAILED"}
                                    : backend_.progress(found->first);
-    std::string body = "{\"queryId\":" + json_string(id) + ",\"state\":" + json_string(stats.state) + ",\"query\":" +
-                       json_string(s.sql) + ",\"session\":{\"user\":" + json_string(s.user) + "},\"queryStats\":" +
-                       write_stats(stats);
+    std::string body = "{\"queryId\":" + json_string(id) + ",\"state\":" + json_string(stats.state) +
+                       ",\"query\":" + json_string(s.sql) + ",\"session\":{\"user\":" + json_string(s.user) +
+                       "},\"queryStats\":" + write_stats(stats);
     if (!s.error_name.empty())
-        body += ",\"errorCode\":{\"code\":" + std::to_string(s.error_code) + ",\"name\":" + json_string(s.error_name) + "}";
+        body += ",\"errorCode\":{\"code\":" + std::to_string(s.error_code) +
+                ",\"name\":" + json_string(s.error_name) + "}";
     answer(reply, json_response(200, body + "}"));
 }
 
@@ -317,23 +330,28 @@
     if (path == "/v1/info/state") {
         if (request.method == "PUT") {
             const std::string& from = request.peer;
-            const bool here = from.starts_with("127.") || from.starts_with("[::1]") || from.starts_with("unix:");
-            if (!here && !options_.remote_drain) return answer(reply, text_response(403, "drained from its own machine only"));
+            const bool here =
+                from.starts_with("127.") || from.starts_with("[::1]") || from.starts_with("unix:");
+            if (!here && !options_.remote_drain)
+                return answer(reply, text_response(403, "drained from its own machine only"));
             if (trimmed(request.body) != "\"SHUTTING_DOWN\"")
                 return answer(reply, text_response(400, "the one state to put is \"SHUTTING_DOWN\""));
             draining = true;
             backend_.drain();
             return answer(reply, {200, {}, {}});
         }
-        return answer(reply, json_response(200, draining ? "\"SHUTTING_DOWN\"" : starting ? "\"STARTING\"" : "\"ACTIVE\""));
+        return answer(reply, json_response(200, draining   ? "\"SHUTTING_DOWN\""
+                                                : starting ? "\"STARTING\""
+                                                           : "\"ACTIVE\""));
     }
     if (request.method != "GET" && request.method != "HEAD") return answer(reply, text_response(405, "GET"));
     if (path == "/v1/info")
-        return answer(reply, json_response(200, "{\"nodeVersion\":{\"version\":" + json_string(options_.version) +
-                                                    "},\"environment\":" + json_string(options_.environment) +
-                                                    ",\"coordinator\":true,\"starting\":" +
-                                                    (starting ? "true" : "false") + ",\"uptime\":\"" +
-                                                    std::to_string(up) + ".00ms\"}"));
+        return answer(
+            reply,
+            json_response(200, "{\"nodeVersion\":{\"version\":" + json_string(options_.version) +
+                                   "},\"environment\":" + json_string(options_.environment) +
+                                   ",\"coordinator\":true,\"starting\":" + (starting ? "true" : "false") +
+                                   ",\"uptime\":\"" + std::to_string(up) + ".00ms\"}"));
     answer(reply, json_response(200, "{\"nodeId\":" + json_string(options_.node_id) + ",\"uptime\":\"" +
                                          std::to_string(up) + ".00ms\"" + backend_.status_members() + "}"));
 }
--- a/src/statement/server.hpp
+++ b/src/statement/server.hpp
@@ -1,5 +1,6 @@
-// The server side of the statement API: statements by id, slug and token, polls held while nothing is new, the latest
-// document kept for being asked again, cancelling, abandonment. What a statement answers comes from its Backend.
+// The server side of the statement API: statements by id, slug and token, polls held while nothing is new,
+// the latest document kept for being asked again, cancelling, abandonment. What a statement answers comes
+// from its Backend.
 #pragma once
 
 #include <deque>
@@ -46,18 +47,19 @@
 
 struct ServerSideOptions {
     std::string node_id = "gatetiller", version = "0.2.0", environment = "production";
-    Micros long_poll = kSecondMicros;             // a poll is held for so long while nothing is new
-    Micros abandoned_after = 300 * kSecondMicros;  // without a poll
-    Micros finished_kept = 30 * kSecondMicros;     // the final document, for being asked again
+    Micros long_poll = kSecondMicros;               // a poll is held for so long while nothing is new
+    Micros abandoned_after = 300 * kSecondMicros;   // without a poll
+    Micros finished_kept = 30 * kSecondMicros;      // the final document, for being asked again
     std::size_t finished_bytes = 64 * 1024 * 1024;  // and in all, overhead included: the oldest go first
     bool remote_drain = false;  // PUT /v1/info/state is heard from other machines too, not only from this one
-    bool trust_forwarded = false;                   // X-Forwarded-Proto and -Host build the URIs
+    bool trust_forwarded = false;  // X-Forwarded-Proto and -Host build the URIs
 };
 
 class ServerSide {
 public:
     // `entropy` gives 32 hex digits that nobody can guess, for slugs.
-    ServerSide(net::Loop& loop, ServerSideOptions options, Backend& backend, std::function<std::string()> entropy);
+    ServerSide(net::Loop& loop, ServerSideOptions options, Backend& backend,
+               std::function<std::string()> entropy);
     ~ServerSide();
     ServerSide(const ServerSide&) = delete;
     ServerSide& operator=(const ServerSide&) = delete;
@@ -65,8 +67,8 @@
     // For http::Server. False: the path is none of this API's; nothing was done.
     bool handle(http::Request& request, http::Server::Reply& reply);
 
-    // Puts a document at the end of those waiting; id and URIs are set here. `headers` go with it. One whose next_uri
-    // is empty is the final one; after it nothing more is taken.
+    // Puts a document at the end of those waiting; id and URIs are set here. `headers` go with it. One whose
+    // next_uri is empty is the final one; after it nothing more is taken.
     void push(const std::string& id, Document document, http::Headers headers = {});
     // Drops what waits and has not been given out, and what rows may have been in it.
     void drop_waiting(const std::string& id);
@@ -90,7 +92,7 @@
         bool final_queued = false, finished = false, rows_out = false;
         std::string state = "QUEUED", error_name;
         std::int64_t error_code = 0;
-        Micros asked = 0;  // when a poll last came or was answered
+        Micros asked = 0;                          // when a poll last came or was answered
         std::list<std::string>::iterator place{};  // in by_asking_, while not finished
         std::optional<http::Server::Reply> held;
         std::uint64_t held_serial = 0;
--- a/tests/base/await.hpp
+++ b/tests/base/await.hpp
@@ -1,5 +1,5 @@
-// Conditions are awaited, never slept for: turns of a loop until one holds. False only after a limit that no sound run
-// comes near.
+// Conditions are awaited, never slept for: turns of a loop until one holds. False only after a limit that no
+// sound run comes near.
 #pragma once
 
 #include "net/poll_loop.hpp"
--- a/tests/cli/program_test.cpp
+++ b/tests/cli/program_test.cpp
@@ -28,15 +28,19 @@
 
 class ProgramTest : public ::testing::Test {
 protected:
-    std::string file(const std::string& name) const { return ::testing::TempDir() + "program-" + std::to_string(::getpid()) + "-" + name; }
+    std::string file(const std::string& name) const {
+        return ::testing::TempDir() + "program-" + std::to_string(::getpid()) + "-" + name;
+    }
     void write(const std::string& name, const std::string& text) const { std::ofstream(file(name)) << text; }
     lab::Process start(const std::string& what, const std::string& name) {
-        auto p = lab::Process::start({kProgram, what, "--config", file(name)}, file(name) + ".log", kPatience);
+        auto p =
+            lab::Process::start({kProgram, what, "--config", file(name)}, file(name) + ".log", kPatience);
         EXPECT_TRUE(p) << p.error();
         return p ? std::move(*p) : lab::Process{};
     }
     std::string front(const std::string& engine, const std::string& route) const {
-        return "local g = import 'gatetiller.libsonnet'; g.front('f') { classes: { short: g.class('1s', '9s') }, kinds: { std: g.kind(8, '16GiB') }, engines: { e: g.engine('" +
+        return "local g = import 'gatetiller.libsonnet'; g.front('f') { classes: { short: g.class('1s', "
+               "'9s') }, kinds: { std: g.kind(8, '16GiB') }, engines: { e: g.engine('" +
                engine.substr(7) + "') }, routes: [" + route + "], roster: { watch_every: '20ms' } }";
     }
 };
@@ -48,13 +52,17 @@
     EXPECT_EQ(run("query --server nonsense 'SELECT 1'").code, 2);
     EXPECT_EQ(run("query --server http://127.0.0.1:1 'SELECT 1'").code, 1);
     EXPECT_EQ(run("check /dev/null").code, 1);
-    for (const char* command : {"", "demo", "serve", "engine", "query", "config", "config diff", "lab", "lab day", "lab cost", "check"}) {
+    for (const char* command : {"", "demo", "serve", "engine", "query", "config", "config diff", "lab",
+                                "lab day", "lab cost", "check"}) {
         const auto help = run(std::string(command) + " --help");
         EXPECT_EQ(help.code, 0) << command;
         EXPECT_FALSE(help.out.empty());
     }
-    write("day.jsonnet", "{ length: '1s', front: {}, engines: {}, traffic: { rate: 1, classes: {} }, troubles: [{ name: 'hangs', at: '1s' }] }");
-    EXPECT_NE(run("lab day " + file("day.jsonnet"), true).out.find("did you mean 'hang'?"), std::string::npos);
+    write("day.jsonnet",
+          "{ length: '1s', front: {}, engines: {}, traffic: { rate: 1, classes: {} }, troubles: [{ name: "
+          "'hangs', at: '1s' }] }");
+    EXPECT_NE(run("lab day " + file("day.jsonnet"), true).out.find("did you mean 'hang'?"),
+              std::string::npos);
 }
 
 TEST_F(ProgramTest, ShowsAndComparesConfigurations) {
@@ -75,7 +83,9 @@
     write("front.jsonnet", front(engine.first_line(), "g.route('short', { user: 'ann' })"));
     auto served = start("serve", "front.jsonnet");
     const std::string server = served.first_line();
-    const auto ask = [&](const std::string& more) { return run("query --server " + server + " " + more + " 'SELECT 1 /* gt: work_ms=1 rows=2 */'"); };
+    const auto ask = [&](const std::string& more) {
+        return run("query --server " + server + " " + more + " 'SELECT 1 /* gt: work_ms=1 rows=2 */'");
+    };
     const auto rows = ask("--user ann --format csv");
     EXPECT_EQ(rows.code, 0);
     EXPECT_EQ(std::count(rows.out.begin(), rows.out.end(), '\n'), 3);
@@ -92,7 +102,8 @@
     EXPECT_TRUE(served.wait(kPatience));
     std::ifstream log(file("front.jsonnet") + ".log");
     const std::string text((std::istreambuf_iterator<char>(log)), {});
-    for (const char* part : {"served user=ann", "reload refused", "reloaded engines", "drained: 0 statements left behind"})
+    for (const char* part :
+         {"served user=ann", "reload refused", "reloaded engines", "drained: 0 statements left behind"})
         EXPECT_NE(text.find(part), std::string::npos) << part << " in " << text;
 }
 
--- a/tests/config/config_test.cpp
+++ b/tests/config/config_test.cpp
@@ -55,7 +55,9 @@
 
 TEST(Config, EveryMistakeIsToldWithItsLineAndWhatIsAllowed) {
     const std::vector<std::tuple<std::string, std::string, std::vector<std::string>>> kMistakes = {
-        {"late_share: 0.5", "late_shar: 0.5", {"f.jsonnet:7:", "classes.short.late_shar", "did you mean 'late_share'?"}},
+        {"late_share: 0.5",
+         "late_shar: 0.5",
+         {"f.jsonnet:7:", "classes.short.late_shar", "did you mean 'late_share'?"}},
         {"late_share: 0.5", "late_share: 5", {"f.jsonnet:7:", "out of range", "0.0 to 1.0"}},
         {"'500ms'", "'500'", {"f.jsonnet:6:", "the unit is missing", "us, ms, s, m, h, d"}},
         {"'500ms'", "500", {"f.jsonnet:6:", "must be a time with its unit"}},
@@ -64,8 +66,12 @@
         {"'by_key'", "'twice'", {"f.jsonnet:9:", "'repeatable', 'by_key', 'once'"}},
         {"'16GiB'", "'16 gigs'", {"f.jsonnet:12:", "GiB"}},
         {"127.0.0.1:9001", "engine-1:9001", {"f.jsonnet:14:", "not an IPv4 address"}},
-        {"g.engine('127.0.0.1:9001')", "g.engine('127.0.0.1:9001', 'huge')", {"f.jsonnet:13:", "'huge'", "'kinds' does not define"}},
-        {"g.route('short')", "g.route('shorty')", {"f.jsonnet:18:", "'shorty' is not defined", "keyed, short"}},
+        {"g.engine('127.0.0.1:9001')",
+         "g.engine('127.0.0.1:9001', 'huge')",
+         {"f.jsonnet:13:", "'huge'", "'kinds' does not define"}},
+        {"g.route('short')",
+         "g.route('shorty')",
+         {"f.jsonnet:18:", "'shorty' is not defined", "keyed, short"}},
         {"listen: [", "lisen: [", {"f.jsonnet:4:", "did you mean 'listen'?"}},
         {"listen: ['127.0.0.1:0']", "listen: []", {"listen"}},
         {"g.tenant(0.5),", "g.tenant('x'),", {"f.jsonnet:11:", "must be a number"}},
@@ -76,7 +82,8 @@
     for (const auto& [from, to, expected] : kMistakes) {
         const auto told = mistake(changed(from, to));
         EXPECT_NE(told, "") << to;
-        for (const auto& part : expected) EXPECT_NE(told.find(part), std::string::npos) << to << " gave: " << told << " without " << part;
+        for (const auto& part : expected)
+            EXPECT_NE(told.find(part), std::string::npos) << to << " gave: " << told << " without " << part;
     }
 }
 
@@ -88,8 +95,13 @@
 }
 
 TEST(Config, AListOfEnginesIsCheckedToo) {
-    EXPECT_EQ(read_engine_list(R"({"engines": {"a": {"address": "127.0.0.1:1", "state": "fading"}}})", "list")->at(0).state, EngineState::fading);
-    for (const char* bad : {"{", "[]", "{}", R"({"engines": {"a": {}}})", R"({"engines": {"a": {"address": "x"}}})", R"({"engines": {"a": {"address": "127.0.0.1:1", "state": "up"}}})"})
+    EXPECT_EQ(read_engine_list(R"({"engines": {"a": {"address": "127.0.0.1:1", "state": "fading"}}})", "list")
+                  ->at(0)
+                  .state,
+              EngineState::fading);
+    for (const char* bad :
+         {"{", "[]", "{}", R"({"engines": {"a": {}}})", R"({"engines": {"a": {"address": "x"}}})",
+          R"({"engines": {"a": {"address": "127.0.0.1:1", "state": "up"}}})"})
         EXPECT_FALSE(read_engine_list(bad, "list")) << bad;
 }
 
--- a/tests/decide/decide_test.cpp
+++ b/tests/decide/decide_test.cpp
@@ -18,21 +18,23 @@
 TEST(AttemptEnd, OnlyWhatTheProtocolProvesNeverRanCountsSo) {
     using How = AttemptEnd::How;
     const auto never_ran = [](Outcome o) { return o == Outcome::busy || o == Outcome::econnrefused; };
-    for (const How how : {How::answered, How::not_sent, How::connect_late, How::turned_away, How::lost, How::late})
+    for (const How how :
+         {How::answered, How::not_sent, How::connect_late, How::turned_away, How::lost, How::late})
         for (const int status : {0, 200, 400, 404, 429, 500, 502, 503, 504})
             for (const char* name : {"", "QUERY_QUEUE_FULL", "SERVER_SHUTTING_DOWN", "SYNTAX_ERROR"})
                 for (const bool ran : {false, true}) {
-                    const std::string type = std::string(name) == "SYNTAX_ERROR" ? "USER_ERROR" : "INSUFFICIENT_RESOURCES";
+                    const std::string type =
+                        std::string(name) == "SYNTAX_ERROR" ? "USER_ERROR" : "INSUFFICIENT_RESOURCES";
                     const auto v = judge({how, status, *name != 0, type, name, ran});
-                    const bool proven = how == How::not_sent || how == How::connect_late ||
-                                        (how == How::turned_away && (status == 429 || status == 503)) ||
-                                        (how == How::answered && std::string(name) == "QUERY_QUEUE_FULL" && !ran);
+                    const bool proven =
+                        how == How::not_sent || how == How::connect_late ||
+                        (how == How::turned_away && (status == 429 || status == 503)) ||
+                        (how == How::answered && std::string(name) == "QUERY_QUEUE_FULL" && !ran);
                     EXPECT_EQ(never_ran(v.outcome), proven);
                     // Only an engine's own word is passed on to the client.
-                    if (v.for_client) {
-                        EXPECT_TRUE(how == How::answered || how == How::turned_away);
-                    }
-                    EXPECT_EQ(v.outcome == Outcome::done, how == How::answered && (*name == 0 || type == "USER_ERROR"));
+                    if (v.for_client) { EXPECT_TRUE(how == How::answered || how == How::turned_away); }
+                    EXPECT_EQ(v.outcome == Outcome::done,
+                              how == How::answered && (*name == 0 || type == "USER_ERROR"));
                 }
 }
 
@@ -75,7 +77,8 @@
             if (random.chance(0.6)) {
                 const std::size_t size = random.below(110), all = holding.statements();
                 const auto how = holding.admit(user, size);
-                EXPECT_EQ(how == Admission::taken, size <= 100 && all < 20 && mine[user] < 8) << "seed " << seed;
+                EXPECT_EQ(how == Admission::taken, size <= 100 && all < 20 && mine[user] < 8)
+                    << "seed " << seed;
                 mine[user] += how == Admission::taken;
             } else if (mine[user] > 0) {
                 holding.finished(user);
@@ -119,7 +122,8 @@
 }
 
 TEST(Life, WhateverHappensInWhateverOrderItsPromisesHold) {
-    constexpr std::array kAll = {Happening::sent, Happening::rows_given, Happening::attempt_over, Happening::answer, Happening::final_given, Happening::left};
+    constexpr std::array kAll = {Happening::sent,   Happening::rows_given,  Happening::attempt_over,
+                                 Happening::answer, Happening::final_given, Happening::left};
     std::set<std::pair<Phase, bool>> reached;
     for (std::uint64_t seed = 1; seed <= 5000; ++seed) {
         Random random(seed);
@@ -137,7 +141,8 @@
             rows += h == Happening::rows_given;
             ends += h == Happening::final_given || h == Happening::left;
             if (h == Happening::sent) {
-                EXPECT_FALSE(before.out() || before.finished() || had_rows) << "seed " << seed;  // one at a time, none after rows or an answer
+                EXPECT_FALSE(before.out() || before.finished() || had_rows)
+                    << "seed " << seed;  // one at a time, none after rows or an answer
             }
             had_rows = had_rows || h == Happening::rows_given;
             EXPECT_LE(answers, 1);
@@ -147,7 +152,8 @@
             reached.insert({life.phase(), life.out()});
         }
     }
-    EXPECT_EQ(reached.size(), 8u);  // every phase with and without an attempt out, but held with and trying without one
+    EXPECT_EQ(reached.size(),
+              8u);  // every phase with and without an attempt out, but held with and trying without one
 }
 
 TEST(Notes, ProgressComesOnceAPeriodAndNewsAtOnce) {
@@ -163,9 +169,11 @@
     EXPECT_EQ(topics(1150, {.progress = 15}), T{});
     EXPECT_EQ(topics(1160, {.queued = true}), T{NoteTopic::waits});
     EXPECT_EQ(topics(1170, {.queued = true}), T{});
-    EXPECT_EQ(notes.take(1180, {.scheduled = true, .queued_splits = 3}).at(0).value, 2);  // another reason: news
+    EXPECT_EQ(notes.take(1180, {.scheduled = true, .queued_splits = 3}).at(0).value,
+              2);  // another reason: news
     EXPECT_EQ(topics(1280, {.scheduled = true, .queued_splits = 3}), T{NoteTopic::waits});
-    EXPECT_EQ(topics(1281, {.running_splits = 1, .spilled_bytes = 1 << 20}), (T{NoteTopic::spills, NoteTopic::progress}));
+    EXPECT_EQ(topics(1281, {.running_splits = 1, .spilled_bytes = 1 << 20}),
+              (T{NoteTopic::spills, NoteTopic::progress}));
     EXPECT_EQ(topics(1300, {.running_splits = 1, .spilled_bytes = 1 << 20}), T{});
 }
 
--- a/tests/engine/model_test.cpp
+++ b/tests/engine/model_test.cpp
@@ -1,4 +1,5 @@
-// The stand-in's machine against what it promises: work is conserved, sharing is fair, memory is never over-granted.
+// The stand-in's machine against what it promises: work is conserved, sharing is fair, memory is never
+// over-granted.
 #include "engine/model.hpp"
 
 #include <gtest/gtest.h>
@@ -47,7 +48,8 @@
         MachineSettings s;
         s.cores = random.uniform(1, 8), s.memory_mb = 1000;
         s.when_short = std::array{WhenShort::queue, WhenShort::trim, WhenShort::swap}[random.below(3)];
-        s.priorities = random.chance(0.5), s.bad_plans = 0.1, s.warm_up = random.chance(0.5) ? kSecondMicros : 0;
+        s.priorities = random.chance(0.5), s.bad_plans = 0.1,
+        s.warm_up = random.chance(0.5) ? kSecondMicros : 0;
         Machine m(0, s, seed);
         Micros now = 0;
         std::vector<Machine::JobId> out;
@@ -55,8 +57,10 @@
         for (int i = 0; i < 60; ++i) {
             now += static_cast<Micros>(random.below(100'000));
             Job j = job(random.uniform(1, 300), 1 + random.below(4), random.uniform(0, 600));
-            j.io = random.uniform(), j.priority = static_cast<int>(random.below(4)), j.grant_mb = random.uniform(0, 500);
-            j.group = "g" + std::to_string(random.below(3)), j.load = random.chance(0.2), j.yields = random.chance(0.3);
+            j.io = random.uniform(), j.priority = static_cast<int>(random.below(4)),
+            j.grant_mb = random.uniform(0, 500);
+            j.group = "g" + std::to_string(random.below(3)), j.load = random.chance(0.2),
+            j.yields = random.chance(0.3);
             Machine::JobId id = 0;
             if (m.submit(now, std::move(j), id) == Taken::taken) ++taken, out.push_back(id);
             if (!out.empty() && random.chance(0.2)) {
@@ -67,12 +71,11 @@
             }
             ended += m.take_ended().size();
             const auto r = m.report();
-            if (s.when_short != WhenShort::swap) {
-                EXPECT_LE(*r.memory_granted, 1.0001) << "seed " << seed;
-            }
+            if (s.when_short != WhenShort::swap) { EXPECT_LE(*r.memory_granted, 1.0001) << "seed " << seed; }
             EXPECT_EQ(static_cast<std::size_t>(*r.concurrent), taken - ended - cancelled) << "seed " << seed;
             // No faster than its cores and its disks.
-            EXPECT_LE(m.work_done(), static_cast<double>(now) * s.cores * (1 + s.disks) * 1.0001 + 1) << "seed " << seed;
+            EXPECT_LE(m.work_done(), static_cast<double>(now) * s.cores * (1 + s.disks) * 1.0001 + 1)
+                << "seed " << seed;
         }
         ended += drain(m, now).size();
         EXPECT_EQ(taken, ended + cancelled) << "seed " << seed;
@@ -102,7 +105,8 @@
 
 TEST(Machine, PrioritiesWarmGroupsLoadsKeysAndCancelling) {
     MachineSettings s;
-    s.cores = 1, s.knee = 10, s.priorities = true, s.key_window = kSecondMicros, s.warm_saves = 0.5, s.disks = 10;
+    s.cores = 1, s.knee = 10, s.priorities = true, s.key_window = kSecondMicros, s.warm_saves = 0.5,
+    s.disks = 10;
     Machine m(0, s, 1);
     Machine::JobId low = 0, high = 0, id = 0;
     Job j = job(85), k = job(80);
@@ -136,8 +140,10 @@
 
 TEST(Machine, AColdOneFallsOverOnlyPastItsLimit) {
     MachineSettings s;
-    s.cores = 2, s.cold_share = 0.5, s.warm_up = 10 * kSecondMicros, s.fall_factor = 2, s.fall_for = kSecondMicros;
-    for (const double work : {300.0, 320.0}) {  // six in a second: 1.8 and 1.92 core-seconds of 2 x 1 allowed; then 2.1, 2.24
+    s.cores = 2, s.cold_share = 0.5, s.warm_up = 10 * kSecondMicros, s.fall_factor = 2,
+    s.fall_for = kSecondMicros;
+    for (const double work :
+         {300.0, 320.0}) {  // six in a second: 1.8 and 1.92 core-seconds of 2 x 1 allowed; then 2.1, 2.24
         Machine m(0, s, 1);
         Machine::JobId id = 0;
         for (int i = 0; i < 6; ++i) EXPECT_EQ(m.submit(i * 100'000, job(work), id), Taken::taken);
@@ -151,7 +157,9 @@
     EXPECT_EQ(h->work_ms, 7);
     EXPECT_EQ(h->rows, 5u);
     EXPECT_TRUE(h->load);
-    for (const char* bad : {"/* gt: work_ms=x */", "/* gt: colour=red */", "/* gt: io=2 */", "/* gt: work_ms=1"}) EXPECT_FALSE(read_hints(bad)) << bad;
+    for (const char* bad :
+         {"/* gt: work_ms=x */", "/* gt: colour=red */", "/* gt: io=2 */", "/* gt: work_ms=1"})
+        EXPECT_FALSE(read_hints(bad)) << bad;
     EXPECT_NE(row_of("a", 0), row_of("b", 0));
     EXPECT_NE(row_of("a", 0), row_of("a", 1));
 }
--- a/tests/front/hard_cases_test.cpp
+++ b/tests/front/hard_cases_test.cpp
@@ -1,9 +1,9 @@
 // The hard cases of a polled front, each over real sockets with the fault that it is about.
+#include <set>
+
 #include "front/whole.hpp"
 #include "statement/json.hpp"
 
-#include <set>
-
 namespace gatetiller::testing {
 namespace {
 
@@ -66,9 +66,7 @@
         const auto once = w.exchange("GET", now), twice = w.exchange("GET", now);
         ASSERT_EQ(once.response.status, 200);
         EXPECT_EQ(once.response.body, twice.response.body);
-        if (!before.empty()) {
-            EXPECT_EQ(w.exchange("GET", before).response.status, 410);
-        }
+        if (!before.empty()) { EXPECT_EQ(w.exchange("GET", before).response.status, 410); }
         const auto d = *statement::read_document(once.response.body);
         before = now;
         if (d.final()) final = once.response.body;
@@ -85,8 +83,9 @@
     Whole w(1);
     for (int i = 0; i < 20; ++i) {
         const std::string trace = "race" + std::to_string(i);
-        const auto first = w.exchange("POST", "/v1/statement", "SELECT 1 /* gt: work_ms=" + std::to_string(i % 5) + " */",
-                                      Whole::headers("test", trace));
+        const auto first =
+            w.exchange("POST", "/v1/statement", "SELECT 1 /* gt: work_ms=" + std::to_string(i % 5) + " */",
+                       Whole::headers("test", trace));
         const auto next = statement::read_document(first.response.body)->next_uri;
         const std::string path = next.substr(next.find("/v1/"));
         int answers = 0;
@@ -165,7 +164,8 @@
     }));
     const auto before = w.journal.size();
     for (int i = 0; i < 10; ++i) w.ask("SELECT 1 /* gt: work_ms=5 */");
-    ASSERT_TRUE(w.until([&] { return std::all_of(w.asked.begin(), w.asked.end(), [](auto& a) { return a->ended; }); }));
+    ASSERT_TRUE(w.until(
+        [&] { return std::all_of(w.asked.begin(), w.asked.end(), [](auto& a) { return a->ended; }); }));
     for (const auto& a : w.asked) EXPECT_EQ(a->error(), "");
     EXPECT_EQ(w.engine(0).running(), 0u);
     EXPECT_GT(w.journal.size(), before);
@@ -184,7 +184,8 @@
 
 TEST(HardCases, ALargeResultToASlowReaderIsHeldInBoundedPieces) {
     Whole w(1, "limits+: { rows_ahead: '256KiB' }");
-    // 50 MB in pages of 1 MiB; the reader takes one page at a time and looks at what the front holds meanwhile.
+    // 50 MB in pages of 1 MiB; the reader takes one page at a time and looks at what the front holds
+    // meanwhile.
     const std::string sql = "SELECT 1 /* gt: work_ms=5 rows=500000 row_bytes=100 */";
     const auto first = w.exchange("POST", "/v1/statement", sql);
     std::string next = statement::read_document(first.response.body)->next_uri;
@@ -226,7 +227,8 @@
     w.engine(0).set({.trickle = 1});
     w.engine(1).set({.cut = 0.3});
     for (int i = 0; i < 40; ++i) w.ask("SELECT 1 /* gt: work_ms=5 rows=20 */", "long");
-    ASSERT_TRUE(w.until([&] { return std::all_of(w.asked.begin(), w.asked.end(), [](auto& a) { return a->ended; }); }));
+    ASSERT_TRUE(w.until(
+        [&] { return std::all_of(w.asked.begin(), w.asked.end(), [](auto& a) { return a->ended; }); }));
     int served = 0;
     for (const auto& a : w.asked) {
         EXPECT_EQ(a->finals, 1);
@@ -247,7 +249,11 @@
     std::vector<std::string> ids;
     for (const Micros step : {-7200 * kSecondMicros, 0 * kSecondMicros, 86400 * kSecondMicros}) {
         w.clock.step = step;
-        ids.push_back(statement::read_document(w.exchange("POST", "/v1/statement", "SELECT 1", Whole::headers("test", "step" + std::to_string(ids.size()))).response.body)->id);
+        ids.push_back(
+            statement::read_document(w.exchange("POST", "/v1/statement", "SELECT 1",
+                                                Whole::headers("test", "step" + std::to_string(ids.size())))
+                                         .response.body)
+                ->id);
     }
     EXPECT_NE(ids[0].substr(0, 15), ids[2].substr(0, 15));
     EXPECT_EQ(std::set<std::string>(ids.begin(), ids.end()).size(), 3u);
@@ -265,7 +271,8 @@
     bool down = false;
     http::Server list(w.loop, {}, [&](http::Request&, http::Server::Reply reply) {
         if (down) return reply.send({503, {}, ""});
-        reply.send({200, {}, "{\"engines\": {\"e0\": {\"address\": \"" + engine + "\", \"kind\": \"std\"}}}"});
+        reply.send(
+            {200, {}, "{\"engines\": {\"e0\": {\"address\": \"" + engine + "\", \"kind\": \"std\"}}}"});
     });
     w.settings.roster.http = *list.listen(*net::Address::parse("127.0.0.1:0"));
     w.settings.roster.path = "/engines";
@@ -276,7 +283,8 @@
     down = true;
     w.restart();
     for (int i = 0; i < 5; ++i) w.ask("SELECT 1 /* gt: work_ms=5 */");
-    ASSERT_TRUE(w.until([&] { return std::all_of(w.asked.begin(), w.asked.end(), [](auto& a) { return a->ended; }); }));
+    ASSERT_TRUE(w.until(
+        [&] { return std::all_of(w.asked.begin(), w.asked.end(), [](auto& a) { return a->ended; }); }));
     for (const auto& a : w.asked) EXPECT_EQ(a->error(), "");
     EXPECT_EQ(w.front().engines().all().size(), 1u);
     w.expect_rules_kept();
@@ -284,15 +292,19 @@
 }
 
 TEST(HardCases, AnOlderClientIsAnsweredInItsFamilyAndAnEnginesSessionHeadersArePassedOn) {
-    // An engine written out by hand: two documents, with headers that a gateway passes on and one that it doesn't.
+    // An engine written out by hand: two documents, with headers that a gateway passes on and one that it
+    // doesn't.
     Whole w(0, "engines: { e0: g.engine('127.0.0.1:1') }");
     std::vector<http::Request> heard;
     net::Address at;
     http::Server engine(w.loop, {}, [&](http::Request& r, http::Server::Reply reply) {
         heard.push_back(r);
         const bool last = r.target == "/v1/statement/executing/q/s/1";
-        auto answer = statement::json_response(200, last ? R"({"id":"q","columns":[{"name":"a"}],"data":[[1]],"stats":{"state":"FINISHED"}})"
-                                                         : R"({"id":"q","nextUri":"http://elsewhere:1/v1/statement/executing/q/s/1","stats":{"state":"QUEUED"}})");
+        auto answer = statement::json_response(
+            200,
+            last
+                ? R"({"id":"q","columns":[{"name":"a"}],"data":[[1]],"stats":{"state":"FINISHED"}})"
+                : R"({"id":"q","nextUri":"http://elsewhere:1/v1/statement/executing/q/s/1","stats":{"state":"QUEUED"}})");
         answer.headers.add("X-Presto-Set-Session", "a=b");
         answer.headers.add("X-Presto-Internal", "no");
         if (!r.target.starts_with("/v1/statement")) answer = statement::text_response(404, "");
@@ -310,17 +322,22 @@
     EXPECT_NE(last.response.body.find("[[1]]"), std::string::npos);
     EXPECT_EQ(last.response.headers.find("X-Presto-Set-Session"), "a=b");
     EXPECT_FALSE(last.response.headers.find("X-Presto-Internal"));
-    const auto post = std::find_if(heard.begin(), heard.end(), [](const auto& r) { return r.method == "POST"; });
+    const auto post =
+        std::find_if(heard.begin(), heard.end(), [](const auto& r) { return r.method == "POST"; });
     ASSERT_NE(post, heard.end());
     EXPECT_EQ(post->headers.find("X-Presto-Client-Info"), "v0");
     EXPECT_NE(post->headers.find("X-Presto-Session")->find("mine=1"), std::string_view::npos);
     EXPECT_NE(post->headers.find("X-Presto-Session")->find("query_max_run_time="), std::string_view::npos);
     // What is known of it, for its own user only.
     const auto id = statement::read_document(first.response.body)->id;
-    EXPECT_NE(w.exchange("GET", "/v1/query/" + id, "", h).response.body.find("\"FINISHED\""), std::string::npos);
+    EXPECT_NE(w.exchange("GET", "/v1/query/" + id, "", h).response.body.find("\"FINISHED\""),
+              std::string::npos);
     EXPECT_EQ(w.exchange("DELETE", "/v1/query/" + id).response.status, 403);
     EXPECT_NE(w.exchange("GET", "/v1/info").response.body.find("\"starting\":false"), std::string::npos);
-    EXPECT_NE(w.exchange("GET", "/metrics").response.body.find("gatetiller_statements_finished_total{class=\"short\",ended=\"served\"} 1"), std::string::npos);
+    EXPECT_NE(
+        w.exchange("GET", "/metrics")
+            .response.body.find("gatetiller_statements_finished_total{class=\"short\",ended=\"served\"} 1"),
+        std::string::npos);
 }
 
 TEST(HardCases, AFrontThatIsRestartedLeavesItsStatementsToTheirEnginesWhichStopThem) {
@@ -329,7 +346,8 @@
     ASSERT_TRUE(w.until([&] { return w.count("started", "orphan") == 1; }));
     w.http.reset();
     w.restart();
-    EXPECT_EQ(w.exchange("GET", "/v1/statement/queued/20260101_000000_00001_abcde/y1/1").response.status, 404);
+    EXPECT_EQ(w.exchange("GET", "/v1/statement/queued/20260101_000000_00001_abcde/y1/1").response.status,
+              404);
     ASSERT_TRUE(w.until([&] { return w.count("late", "orphan") + w.count("abandoned", "orphan") == 1; }));
     EXPECT_EQ(w.engine(0).machine().jobs(), 0u);
     Asked& a = w.ask("SELECT 1 /* gt: work_ms=5 */");
--- a/tests/front/whole.hpp
+++ b/tests/front/whole.hpp
@@ -1,4 +1,5 @@
-// A front, stand-in engines and clients on one loop, over real sockets on loopback. Conditions are awaited, never slept for.
+// A front, stand-in engines and clients on one loop, over real sockets on loopback. Conditions are awaited,
+// never slept for.
 #pragma once
 
 #include <gtest/gtest.h>
@@ -35,12 +36,16 @@
     Micros now() const override { return below_.now(); }
     Micros unseen() const override { return below_.unseen(); }
     Micros wall() const override { return below_.wall() + step; }
-    net::TimerId after(Micros delay, std::function<void()> call) override { return below_.after(delay, std::move(call)); }
+    net::TimerId after(Micros delay, std::function<void()> call) override {
+        return below_.after(delay, std::move(call));
+    }
     void cancel(net::TimerId timer) override { below_.cancel(timer); }
-    Result<std::unique_ptr<net::Listener>> listen(const net::Address& at, std::function<void(std::unique_ptr<net::Stream>)> accepted) override {
+    Result<std::unique_ptr<net::Listener>> listen(
+        const net::Address& at, std::function<void(std::unique_ptr<net::Stream>)> accepted) override {
         return below_.listen(at, std::move(accepted));
     }
-    std::unique_ptr<net::Stream> connect(const net::Address& to, net::StreamEvents& events, Micros time_out) override {
+    std::unique_ptr<net::Stream> connect(const net::Address& to, net::StreamEvents& events,
+                                         Micros time_out) override {
         return below_.connect(to, events, time_out);
     }
     Micros step = 0;
@@ -90,11 +95,12 @@
         s.machine = machine;
         s.long_poll = 50 * kMillisecond, s.abandoned_after = 2 * kSecondMicros;
         s.seed = engines_.size() + 1;
-        engines_.push_back(std::make_unique<engine::Service>(loop, s, [this] { return random_.hex(32); },
-                                                             [this, name = s.name](const engine::Entry& e) {
-                                                                 journal.push_back(e);
-                                                                 records.engines.push_back({name, e});
-                                                             }));
+        engines_.push_back(std::make_unique<engine::Service>(
+            loop, s, [this] { return random_.hex(32); },
+            [this, name = s.name](const engine::Entry& e) {
+                journal.push_back(e);
+                records.engines.push_back({name, e});
+            }));
         addresses_.push_back(*engines_.back()->start());
     }
     std::unique_ptr<front::Front> make_front() {
@@ -105,7 +111,8 @@
         auto bound = f->start();
         if (!bound) throw std::runtime_error(bound.error());
         settings.listen = {bound->front()};
-        http = std::make_unique<http::Client>(loop, bound->front(), http::ClientOptions{.connect_time_out = kSecondMicros});
+        http = std::make_unique<http::Client>(loop, bound->front(),
+                                              http::ClientOptions{.connect_time_out = kSecondMicros});
         return f;
     }
     void restart() {  // as after a kill: no word to anybody, another front in its place
@@ -113,7 +120,8 @@
         records.lab.push_back({loop.now(), "front_killed", "tested", ""});
         front_ = make_front();
     }
-    Asked& ask(const std::string& sql, const std::string& source = "test", const std::string& trace = "", const std::string& tag = "") {
+    Asked& ask(const std::string& sql, const std::string& source = "test", const std::string& trace = "",
+               const std::string& tag = "") {
         asked.push_back(std::make_unique<Asked>());
         Asked& a = *asked.back();
         a.client = std::make_unique<statement::StatementClient>(loop, *http, statement::EngineCallOptions{});
@@ -127,16 +135,19 @@
             if (source.starts_with(c.name)) r.cls = c.name, r.patience = c.deadline, r.aim = c.aim;
         if (r.cls.empty()) r.cls = "short", r.patience = truth_.classes.back().deadline;
         if (tag.starts_with("key=")) r.key = tag.substr(4);
-        a.client->start(headers(source, a.trace, tag), sql, {[&a, note](const statement::Document& d) {
-                            if (!std::exchange(a.taken, true)) note("taken", "");
-                            if (d.has_rows()) a.pages.push_back(d.data);
-                            a.finals += d.final();
-                        },
-                        [&a, note](const statement::ClientResult& done) {
-                            a.ended = true, a.result = done;
-                            if (done.how == statement::ClientResult::How::answered)
-                                note("final", a.error().empty() ? "served" : a.error() == "QUERY_QUEUE_FULL" ? "refused" : a.error());
-                        }});
+        a.client->start(headers(source, a.trace, tag), sql,
+                        {[&a, note](const statement::Document& d) {
+                             if (!std::exchange(a.taken, true)) note("taken", "");
+                             if (d.has_rows()) a.pages.push_back(d.data);
+                             a.finals += d.final();
+                         },
+                         [&a, note](const statement::ClientResult& done) {
+                             a.ended = true, a.result = done;
+                             if (done.how == statement::ClientResult::How::answered)
+                                 note("final", a.error().empty()                 ? "served"
+                                               : a.error() == "QUERY_QUEUE_FULL" ? "refused"
+                                                                                 : a.error());
+                         }});
         return a;
     }
     // The seven rules over all that passed so far.
@@ -145,18 +156,23 @@
         f = {};
         f.classes = truth_.classes;
         for (std::size_t i = 0; i < engines_.size(); ++i)
-            f.engines.push_back({"e" + std::to_string(i), addresses_[i].text(), settings.engines[i].zone, settings.engines[i].kind, settings.engines[i].cell});
-        f.answer_grace = truth_.grace_to_answer, f.drain_grace = truth_.drain_grace, f.turn_gap = truth_.turn_gap;
-        f.ratio_span = truth_.ratio_span, f.extra_free = truth_.extra_free, f.extra_per_request = truth_.extra_per_request;
+            f.engines.push_back({"e" + std::to_string(i), addresses_[i].text(), settings.engines[i].zone,
+                                 settings.engines[i].kind, settings.engines[i].cell});
+        f.answer_grace = truth_.grace_to_answer, f.drain_grace = truth_.drain_grace,
+        f.turn_gap = truth_.turn_gap;
+        f.ratio_span = truth_.ratio_span, f.extra_free = truth_.extra_free,
+        f.extra_per_request = truth_.extra_per_request;
         records.sort();
         return lab::judge(records);
     }
     void expect_rules_kept() {
         const auto j = judged();
-        for (const auto& v : j.violations) ADD_FAILURE() << "rule " << v.rule << ": " << v.trace << ": " << v.what << "\n" << v.story;
+        for (const auto& v : j.violations)
+            ADD_FAILURE() << "rule " << v.rule << ": " << v.trace << ": " << v.what << "\n" << v.story;
         EXPECT_GT(j.statements, 0u);
     }
-    static http::Headers headers(const std::string& source, const std::string& trace = "", const std::string& tag = "") {
+    static http::Headers headers(const std::string& source, const std::string& trace = "",
+                                 const std::string& tag = "") {
         http::Headers h;
         h.add("X-Trino-User", "tester");
         h.add("X-Trino-Source", source);
@@ -173,7 +189,8 @@
                           http::Headers h = headers("test")) {
         http::Answer got;
         bool done = false;
-        auto call = http->send({method, target, 1, std::move(h), body, {}}, kLimit, [&](http::Answer a) { got = std::move(a), done = true; });
+        auto call = http->send({method, target, 1, std::move(h), body, {}}, kLimit,
+                               [&](http::Answer a) { got = std::move(a), done = true; });
         EXPECT_TRUE(until([&] { return done; }));
         return got;
     }
@@ -197,7 +214,8 @@
     std::unique_ptr<http::Client> http;
 
 private:
-    net::TapLoop tap_{clock, [this](const net::TapEvent& e) { records.sockets.push_back(lab::record_of("tested", e)); }};
+    net::TapLoop tap_{
+        clock, [this](const net::TapEvent& e) { records.sockets.push_back(lab::record_of("tested", e)); }};
     Settings truth_;
     Random random_{42};
     std::vector<net::Address> addresses_;
--- a/tests/fuzz/document_fuzz.cpp
+++ b/tests/fuzz/document_fuzz.cpp
@@ -1,5 +1,5 @@
-// libFuzzer target: any bytes as an engine's document. What is read, written and read again is the same, and what is passed on
-// is well-formed.
+// libFuzzer target: any bytes as an engine's document. What is read, written and read again is the same, and
+// what is passed on is well-formed.
 #include <cstdlib>
 
 #include "statement/document.hpp"
@@ -17,8 +17,9 @@
     const std::string written = write_document(*first);
     const auto again = read_document(written);
     if (!again || !members(written)) std::abort();
-    if (again->id != first->id || again->next_uri != first->next_uri || again->data != first->data || again->columns != first->columns ||
-        again->error.has_value() != first->error.has_value() || again->stats.state != first->stats.state)
+    if (again->id != first->id || again->next_uri != first->next_uri || again->data != first->data ||
+        again->columns != first->columns || again->error.has_value() != first->error.has_value() ||
+        again->stats.state != first->stats.state)
         std::abort();
     return 0;
 }
--- a/tests/fuzz/http_fuzz.cpp
+++ b/tests/fuzz/http_fuzz.cpp
@@ -1,5 +1,5 @@
-// libFuzzer target: any bytes, whole and in pieces, as a request and as a response, end in the same state; and what a
-// server accepted, written again, is read as the same.
+// libFuzzer target: any bytes, whole and in pieces, as a request and as a response, end in the same state;
+// and what a server accepted, written again, is read as the same.
 #include <cstdlib>
 
 #include "http/parser.hpp"
@@ -30,17 +30,23 @@
         if (whole.state() != bytes.state()) std::abort();
         if (whole.failed() && whole.error_status() != bytes.error_status()) std::abort();
         if (!whole.done()) continue;
-        if (!(whole.request().headers == bytes.request().headers) || whole.request().body != bytes.request().body) std::abort();
+        if (!(whole.request().headers == bytes.request().headers) ||
+            whole.request().body != bytes.request().body)
+            std::abort();
         if (kind != Parser::Kind::request) continue;
         auto request = whole.request();
         gatetiller::http::Headers kept;
         for (const auto& [key, value] : request.headers)
-            if (!gatetiller::same_word(key, "host") && !gatetiller::same_word(key, "content-length") && !gatetiller::same_word(key, "transfer-encoding") && !gatetiller::same_word(key, "expect")) kept.add(key, value);
+            if (!gatetiller::same_word(key, "host") && !gatetiller::same_word(key, "content-length") &&
+                !gatetiller::same_word(key, "transfer-encoding") && !gatetiller::same_word(key, "expect"))
+                kept.add(key, value);
         request.headers = kept;
         Parser again(Parser::Kind::request, {});
         Buffer in;
         in.append(gatetiller::http::write(request, "h"));
-        if (!again.feed(in) || !again.done() || again.request().body != request.body || again.request().target != request.target) std::abort();
+        if (!again.feed(in) || !again.done() || again.request().body != request.body ||
+            again.request().target != request.target)
+            std::abort();
     }
     return 0;
 }
--- a/tests/http/parser_test.cpp
+++ b/tests/http/parser_test.cpp
@@ -17,8 +17,9 @@
     friend bool operator==(const Outcome& a, const Outcome& b) {
         return a.state == b.state && (a.state != Parser::State::failed || a.status == b.status) &&
                (a.state != Parser::State::done ||
-                (a.rest == b.rest && a.keep == b.keep && a.request.method == b.request.method && a.request.target == b.request.target &&
-                 a.request.headers == b.request.headers && a.request.body == b.request.body && a.response.status == b.response.status &&
+                (a.rest == b.rest && a.keep == b.keep && a.request.method == b.request.method &&
+                 a.request.target == b.request.target && a.request.headers == b.request.headers &&
+                 a.request.body == b.request.body && a.response.status == b.response.status &&
                  a.response.headers == b.response.headers && a.response.body == b.response.body));
     }
 };
@@ -38,14 +39,17 @@
         at += n;
         if (p.feed(in)) break;
     }
-    Outcome o{p.state(), p.error_status(), p.request(), p.response(), in.size() + text.size() - at, p.keep_alive()};
+    Outcome o{p.state(),     p.error_status(), p.request(), p.response(), in.size() + text.size() - at,
+              p.keep_alive()};
     return o;
 }
 
 const std::vector<std::string> kRequests = {
     "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
-    "POST /v1/statement HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\nSELECT 1GET / HTTP/1.1\r\nHost: a\r\n\r\n",
-    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n3;x=y\r\n...\r\n0\r\nTrailer: t\r\n\r\n",
+    "POST /v1/statement HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\nSELECT 1GET / HTTP/1.1\r\nHost: "
+    "a\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n5\r\nhello\r\n3;x=y\r\n...\r\n0\r\nTrailer: t\r\n\r\n",
     "\r\nGET /late HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
     "GET /old HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
     "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab",
@@ -83,7 +87,8 @@
 }
 
 TEST(Parser, ReadsWhatIsWellFormed) {
-    for (const auto& text : kRequests) EXPECT_EQ(parse(Parser::Kind::request, text, 0).state, Parser::State::done) << text;
+    for (const auto& text : kRequests)
+        EXPECT_EQ(parse(Parser::Kind::request, text, 0).state, Parser::State::done) << text;
     const auto chunked = parse(Parser::Kind::request, kRequests[2], 0);
     EXPECT_EQ(chunked.request.body, "hello...");
     EXPECT_FALSE(chunked.request.headers.find("Trailer"));
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -1,9 +1,10 @@
 // The server and the client over real sockets.
+#include "http/server.hpp"
+
 #include <gtest/gtest.h>
 
 #include "base/await.hpp"
 #include "http/client.hpp"
-#include "http/server.hpp"
 #include "net/poll_loop.hpp"
 
 namespace gatetiller::http {
@@ -36,7 +37,9 @@
         address = *server->listen(*net::Address::parse(at));
     }
     template <typename C>
-    bool until(C condition) { return gatetiller::testing::await(loop, condition); }
+    bool until(C condition) {
+        return gatetiller::testing::await(loop, condition);
+    }
     net::PollLoop loop;
     net::Address address;
     std::vector<std::string> targets;
@@ -48,7 +51,9 @@
 TEST_F(ServerTest, PipelinedRequestsAreAnsweredInOrder) {
     start();
     Raw raw(loop, address);
-    raw.stream->send("GET /later HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\nHEAD /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    raw.stream->send(
+        "GET /later HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\nHEAD /3 HTTP/1.1\r\nHost: "
+        "a\r\nConnection: close\r\n\r\n");
     ASSERT_TRUE(until([&] { return later.size() == 1; }));
     EXPECT_EQ(targets, std::vector<std::string>{"/later"});
     later[0].send({200, {}, "first"});
@@ -153,7 +158,8 @@
         start({}, at.c_str());
         Client client(loop, address, {});
         bool fine = false;
-        auto call = client.send({"GET", "/", 1, {}, {}, {}}, kSecondMicros, [&](const Answer& a) { fine = a.reached == Reached::answered; });
+        auto call = client.send({"GET", "/", 1, {}, {}, {}}, kSecondMicros,
+                                [&](const Answer& a) { fine = a.reached == Reached::answered; });
         EXPECT_TRUE(until([&] { return fine; })) << at;
     }
     server.reset();
--- a/tests/lab/broken_front_test.cpp
+++ b/tests/lab/broken_front_test.cpp
@@ -1,5 +1,5 @@
-// Real fronts, deliberately broken one rule at a time, over real sockets: the checker must catch each, and must find
-// nothing in the same scene with a front that is whole.
+// Real fronts, deliberately broken one rule at a time, over real sockets: the checker must catch each, and
+// must find nothing in the same scene with a front that is whole.
 #include "front/whole.hpp"
 
 namespace gatetiller::testing {
@@ -22,7 +22,8 @@
 
 // Runs a scene with a whole front and with a broken one.
 template <typename Scene>
-void caught(int rule, int engines, const std::string& more, engine::MachineSettings machine, const Break& break_it, Scene scene) {
+void caught(int rule, int engines, const std::string& more, engine::MachineSettings machine,
+            const Break& break_it, Scene scene) {
     {
         Whole whole(engines, more, machine);
         scene(whole);
@@ -34,26 +35,35 @@
 }
 
 TEST(BrokenFront, ThatAnswersAfterItsClientHasGone) {
-    caught(1, 1, "", {}, [](auto& s) {
-               for (auto& c : s.module.classes) c.deadline = 20 * kSecondMicros, c.late_share = 1;
-               s.calls.answer_time_out = 20 * kSecondMicros;
-           },
-           [](Whole& w) {
-               w.engine(0).set({.hang = true});
-               Asked& a = w.ask("SELECT 1 /* gt: work_ms=10 */", "unsafe");
-               const Micros end = w.loop.now() + 5 * kSecondMicros + 20 * kMillisecond;
-               (void)w.until([&] { return a.ended || w.loop.now() >= end; });
-               if (!a.ended) w.records.clients.push_back({w.loop.now(), "gave_up", a.trace, "tested", "", "", "", 0, 0, ""}), a.client->abandon();
-           });
+    caught(
+        1, 1, "", {},
+        [](auto& s) {
+            for (auto& c : s.module.classes) c.deadline = 20 * kSecondMicros, c.late_share = 1;
+            s.calls.answer_time_out = 20 * kSecondMicros;
+        },
+        [](Whole& w) {
+            w.engine(0).set({.hang = true});
+            Asked& a = w.ask("SELECT 1 /* gt: work_ms=10 */", "unsafe");
+            const Micros end = w.loop.now() + 5 * kSecondMicros + 20 * kMillisecond;
+            (void)w.until([&] { return a.ended || w.loop.now() >= end; });
+            if (!a.ended)
+                w.records.clients.push_back(
+                    {w.loop.now(), "gave_up", a.trace, "tested", "", "", "", 0, 0, ""}),
+                    a.client->abandon();
+        });
 }
 
 TEST(BrokenFront, ThatRepeatsWhatMayHaveRun) {
-    caught(2, 2, "", {}, [](auto& s) { for (auto& c : s.module.classes) c.effect = Effect::repeatable; },
-           [](Whole& w) {
-               for (std::size_t i = 0; i < 2; ++i) w.engine(i).set({.fast_errors = 1});
-               w.ask("INSERT 1", "unsafe");
-               ASSERT_TRUE(w.until([&] { return all_ended(w); }));
-           });
+    caught(
+        2, 2, "", {},
+        [](auto& s) {
+            for (auto& c : s.module.classes) c.effect = Effect::repeatable;
+        },
+        [](Whole& w) {
+            for (std::size_t i = 0; i < 2; ++i) w.engine(i).set({.fast_errors = 1});
+            w.ask("INSERT 1", "unsafe");
+            ASSERT_TRUE(w.until([&] { return all_ended(w); }));
+        });
 }
 
 TEST(BrokenFront, ThatDoesNotHearOfDrains) {
@@ -64,7 +74,8 @@
         deaf = !whole;
         w.drop_event = [&](const Event& e) {
             const auto* change = std::get_if<ListChange>(&e);
-            return deaf && change && !change->engines.empty() && change->engines[0].state == EngineState::fading;
+            return deaf && change && !change->engines.empty() &&
+                   change->engines[0].state == EngineState::fading;
         };
         w.restart();
         w.engine(0).drain();
@@ -79,45 +90,59 @@
 
 TEST(BrokenFront, ThatFloodsAColdEngine) {
     engine::MachineSettings m;
-    m.cores = 2, m.warm_up = 20 * kSecondMicros, m.cold_share = 0.3, m.fall_factor = 3, m.fall_for = kSecondMicros;
-    caught(4, 1, "rules+: { warm_up: '20s', overload_for: '1s' }, kinds+: { std: g.kind(2, '16GiB') }", m,
-           [](auto& s) { s.module.warm_up = 0, s.module.kinds[0].cores = 100; },
-           [](Whole& w) {
-               // The engine's uptime is known before the first statement comes.
-               ASSERT_TRUE(w.until([&] { return w.front().engines().all().begin()->second->watch.entry().came_up > 0; }));
-               for (int i = 0; i < 40; ++i) w.ask("SELECT 1 /* gt: work_ms=100 */");
-               ASSERT_TRUE(w.until([&] { return all_ended(w) || w.count("fallen") > 0; }));
-           });
+    m.cores = 2, m.warm_up = 20 * kSecondMicros, m.cold_share = 0.3, m.fall_factor = 3,
+    m.fall_for = kSecondMicros;
+    caught(
+        4, 1, "rules+: { warm_up: '20s', overload_for: '1s' }, kinds+: { std: g.kind(2, '16GiB') }", m,
+        [](auto& s) { s.module.warm_up = 0, s.module.kinds[0].cores = 100; },
+        [](Whole& w) {
+            // The engine's uptime is known before the first statement comes.
+            ASSERT_TRUE(w.until(
+                [&] { return w.front().engines().all().begin()->second->watch.entry().came_up > 0; }));
+            for (int i = 0; i < 40; ++i) w.ask("SELECT 1 /* gt: work_ms=100 */");
+            ASSERT_TRUE(w.until([&] { return all_ended(w) || w.count("fallen") > 0; }));
+        });
 }
 
 TEST(BrokenFront, ThatForgetsOrder) {
-    caught(5, 2, "classes+: { short+: { in_turn: true } }", {}, [](auto& s) { for (auto& c : s.module.classes) c.in_turn = false; },
-           [](Whole& w) {
-               for (int i = 0; i < 4; ++i) {
-                   w.ask("SELECT 1 /* gt: work_ms=50 */", "test", "", "key=k");
-                   ASSERT_TRUE(w.until([&] { return w.asked.back()->taken; }));
-               }
-               ASSERT_TRUE(w.until([&] { return all_ended(w); }));
-           });
+    caught(
+        5, 2, "classes+: { short+: { in_turn: true } }", {},
+        [](auto& s) {
+            for (auto& c : s.module.classes) c.in_turn = false;
+        },
+        [](Whole& w) {
+            for (int i = 0; i < 4; ++i) {
+                w.ask("SELECT 1 /* gt: work_ms=50 */", "test", "", "key=k");
+                ASSERT_TRUE(w.until([&] { return w.asked.back()->taken; }));
+            }
+            ASSERT_TRUE(w.until([&] { return all_ended(w); }));
+        });
 }
 
 TEST(BrokenFront, ThatForgetsPlacement) {
-    caught(6, 2, "classes+: { short+: { kinds: ['other'] } }, kinds+: { other: g.kind(8, '16GiB') }, engines+: { e1+: { kind: 'other' } }", {},
-           [](auto& s) { for (auto& c : s.module.classes) c.served_on.reset(); },
-           [](Whole& w) {
-               for (int i = 0; i < 12; ++i) w.ask("SELECT 1 /* gt: work_ms=5 */");
-               ASSERT_TRUE(w.until([&] { return all_ended(w); }));
-           });
+    caught(
+        6, 2,
+        "classes+: { short+: { kinds: ['other'] } }, kinds+: { other: g.kind(8, '16GiB') }, engines+: { e1+: "
+        "{ kind: 'other' } }",
+        {},
+        [](auto& s) {
+            for (auto& c : s.module.classes) c.served_on.reset();
+        },
+        [](Whole& w) {
+            for (int i = 0; i < 12; ++i) w.ask("SELECT 1 /* gt: work_ms=5 */");
+            ASSERT_TRUE(w.until([&] { return all_ended(w); }));
+        });
 }
 
 TEST(BrokenFront, ThatForgetsItsBudget) {
-    caught(7, 2, "rules+: { further_attempts: { free: 2, per_request: 0.1, span: '10s' } }", {},
-           [](auto& s) { s.module.extra_free.reset(), s.module.extra_per_request.reset(); },
-           [](Whole& w) {
-               for (std::size_t i = 0; i < 2; ++i) w.engine(i).set({.fast_errors = 0.8});
-               for (int i = 0; i < 30; ++i) w.ask("SELECT 1 /* gt: work_ms=5 */");
-               ASSERT_TRUE(w.until([&] { return all_ended(w); }));
-           });
+    caught(
+        7, 2, "rules+: { further_attempts: { free: 2, per_request: 0.1, span: '10s' } }", {},
+        [](auto& s) { s.module.extra_free.reset(), s.module.extra_per_request.reset(); },
+        [](Whole& w) {
+            for (std::size_t i = 0; i < 2; ++i) w.engine(i).set({.fast_errors = 0.8});
+            for (int i = 0; i < 30; ++i) w.ask("SELECT 1 /* gt: work_ms=5 */");
+            ASSERT_TRUE(w.until([&] { return all_ended(w); }));
+        });
 }
 
 }  // namespace
--- a/tests/lab/checker_test.cpp
+++ b/tests/lab/checker_test.cpp
@@ -1,4 +1,5 @@
-// A checker that accepts everything is worth nothing: for each rule one record that keeps it, and the same one doctored.
+// A checker that accepts everything is worth nothing: for each rule one record that keeps it, and the same
+// one doctored.
 #include "lab/checker.hpp"
 
 #include <gtest/gtest.h>
@@ -18,19 +19,25 @@
 class Tape {
 public:
     Tape() {
-        for (const auto& [name, effect] : {std::pair("short", Effect::repeatable), {"unsafe", Effect::once}, {"keyed", Effect::by_key}, {"turn", Effect::repeatable}}) {
+        for (const auto& [name, effect] : {std::pair("short", Effect::repeatable),
+                                           {"unsafe", Effect::once},
+                                           {"keyed", Effect::by_key},
+                                           {"turn", Effect::repeatable}}) {
             ClassSettings c;
-            c.name = name, c.effect = effect, c.aim = 1000 * ms, c.deadline = 5000 * ms, c.window = 2000 * ms, c.key_scope = Scope::zone;
+            c.name = name, c.effect = effect, c.aim = 1000 * ms, c.deadline = 5000 * ms, c.window = 2000 * ms,
+            c.key_scope = Scope::zone;
             c.in_turn = c.name == "turn";
             r.facts.classes.push_back(c);
         }
         r.facts.engines = {{"e1", "127.0.0.1:1", "z1", "std", 0}, {"e2", "127.0.0.1:2", "z2", "std", 0}};
         r.facts.drain_grace = 500 * ms, r.facts.turn_gap = 300 * ms, r.facts.ratio_span = 10'000 * ms;
     }
-    void client(Micros at, const std::string& event, const std::string& trace, const std::string& cls = "", const std::string& detail = "", const std::string& key = "") {
+    void client(Micros at, const std::string& event, const std::string& trace, const std::string& cls = "",
+                const std::string& detail = "", const std::string& key = "") {
         r.clients.push_back({at, event, trace, "f", cls, "", key, 1000 * ms, 5000 * ms, detail});
     }
-    void socket(Micros at, std::uint64_t stream, What what, const std::string& peer, const std::string& bytes = "") {
+    void socket(Micros at, std::uint64_t stream, What what, const std::string& peer,
+                const std::string& bytes = "") {
         r.sockets.push_back({at, "f", stream, what, peer, bytes, bytes.size()});
     }
     // A client's POST, taken.
@@ -40,17 +47,23 @@
         client(at, "taken", trace);
         socket(at, stream, What::accepted, "c");
         socket(at, stream, What::received, "c", message("POST /v1/statement HTTP/1.1", trace, "SELECT 1"));
-        socket(at, stream, What::sent, "c", message("HTTP/1.1 200 OK", "", R"({"id":"id)" + trace + R"(","nextUri":"x"})"));
+        socket(at, stream, What::sent, "c",
+               message("HTTP/1.1 200 OK", "", R"({"id":"id)" + trace + R"(","nextUri":"x"})"));
     }
-    void final(Micros at, const std::string& trace, const std::string& detail = "served", const std::string& body = "") {
+    void final(Micros at, const std::string& trace, const std::string& detail = "served",
+               const std::string& body = "") {
         const auto stream = ++streams;
         client(at, "final", trace, "", detail);
         socket(at, stream, What::accepted, "c");
-        socket(at, stream, What::received, "c", message("GET /v1/statement/executing/id" + trace + "/y/1 HTTP/1.1", "", ""));
-        socket(at, stream, What::sent, "c", message("HTTP/1.1 200 OK", "", R"({"id":"id)" + trace + "\"" + body + "}"));
+        socket(at, stream, What::received, "c",
+               message("GET /v1/statement/executing/id" + trace + "/y/1 HTTP/1.1", "", ""));
+        socket(at, stream, What::sent, "c",
+               message("HTTP/1.1 200 OK", "", R"({"id":"id)" + trace + "\"" + body + "}"));
     }
-    // An attempt: POST on a connection of its own, answered at `answered` (0: never) by status; 200 with a document.
-    std::uint64_t attempt(Micros at, const std::string& trace, int engine, Micros answered, int status = 200, bool final_document = true) {
+    // An attempt: POST on a connection of its own, answered at `answered` (0: never) by status; 200 with a
+    // document.
+    std::uint64_t attempt(Micros at, const std::string& trace, int engine, Micros answered, int status = 200,
+                          bool final_document = true) {
         const auto stream = ++streams;
         const std::string peer = "127.0.0.1:" + std::to_string(engine);
         socket(at, stream, What::connecting, peer);
@@ -58,14 +71,18 @@
         socket(at, stream, What::sent, peer, message("POST /v1/statement HTTP/1.1", trace, "SELECT 1"));
         if (answered > 0)
             socket(answered, stream, What::received, peer,
-                   message("HTTP/1.1 " + std::to_string(status) + " X", "", status == 200 ? R"({"id":"e)" + std::to_string(stream) + "\"" + (final_document ? "" : R"(,"nextUri":"n")") + "}" : "no"));
+                   message("HTTP/1.1 " + std::to_string(status) + " X", "",
+                           status == 200 ? R"({"id":"e)" + std::to_string(stream) + "\"" +
+                                               (final_document ? "" : R"(,"nextUri":"n")") + "}"
+                                         : "no"));
         return stream;
     }
     void cancelled(Micros at, std::uint64_t attempt, int engine) {
         const auto stream = ++streams;
         const std::string peer = "127.0.0.1:" + std::to_string(engine);
         socket(at, stream, What::connecting, peer);
-        socket(at, stream, What::sent, peer, message("DELETE /v1/statement/queued/e" + std::to_string(attempt) + "/y/1 HTTP/1.1", "", ""));
+        socket(at, stream, What::sent, peer,
+               message("DELETE /v1/statement/queued/e" + std::to_string(attempt) + "/y/1 HTTP/1.1", "", ""));
     }
     std::vector<int> broken() {
         r.sort();
@@ -88,8 +105,10 @@
     EXPECT_EQ(after.broken(), Rules{1});
     Tape two = t;
     two.socket(50 * ms, 90, What::accepted, "c");
-    two.socket(50 * ms, 90, What::received, "c", message("GET /v1/statement/executing/ida.0/y/1 HTTP/1.1", "", ""));
-    two.socket(50 * ms, 90, What::sent, "c", message("HTTP/1.1 200 OK", "", R"({"id":"ida.0","data":[[1]]})"));
+    two.socket(50 * ms, 90, What::received, "c",
+               message("GET /v1/statement/executing/ida.0/y/1 HTTP/1.1", "", ""));
+    two.socket(50 * ms, 90, What::sent, "c",
+               message("HTTP/1.1 200 OK", "", R"({"id":"ida.0","data":[[1]]})"));
     EXPECT_EQ(two.broken(), Rules{1});
     Tape none;
     none.taken(10 * ms, "a.0", "short"), none.client(5010 * ms, "gave_up", "a.0");
@@ -103,25 +122,32 @@
 
 TEST(Checker, Rule2NoEffectTwice) {
     Tape busy;
-    busy.taken(10 * ms, "a.0", "unsafe"), busy.attempt(11 * ms, "a.0", 1, 20 * ms, 503), busy.attempt(21 * ms, "a.0", 2, 30 * ms), busy.final(31 * ms, "a.0");
+    busy.taken(10 * ms, "a.0", "unsafe"), busy.attempt(11 * ms, "a.0", 1, 20 * ms, 503),
+        busy.attempt(21 * ms, "a.0", 2, 30 * ms), busy.final(31 * ms, "a.0");
     EXPECT_EQ(busy.broken(), Rules{});
     Tape ran;
-    ran.taken(10 * ms, "a.0", "unsafe"), ran.attempt(11 * ms, "a.0", 1, 20 * ms, 500), ran.attempt(21 * ms, "a.0", 2, 30 * ms), ran.final(31 * ms, "a.0");
+    ran.taken(10 * ms, "a.0", "unsafe"), ran.attempt(11 * ms, "a.0", 1, 20 * ms, 500),
+        ran.attempt(21 * ms, "a.0", 2, 30 * ms), ran.final(31 * ms, "a.0");
     EXPECT_EQ(ran.broken(), Rules{2});
     Tape refused;
-    refused.taken(10 * ms, "a.0", "unsafe"), refused.attempt(11 * ms, "a.0", 1, 20 * ms, 500), refused.final(31 * ms, "a.0", "refused");
+    refused.taken(10 * ms, "a.0", "unsafe"), refused.attempt(11 * ms, "a.0", 1, 20 * ms, 500),
+        refused.final(31 * ms, "a.0", "refused");
     EXPECT_EQ(refused.broken(), Rules{2});
     Tape keyed;
-    keyed.taken(10 * ms, "a.0", "keyed"), keyed.attempt(11 * ms, "a.0", 1, 20 * ms, 500), keyed.attempt(1900 * ms, "a.0", 1, 1950 * ms), keyed.final(1960 * ms, "a.0");
+    keyed.taken(10 * ms, "a.0", "keyed"), keyed.attempt(11 * ms, "a.0", 1, 20 * ms, 500),
+        keyed.attempt(1900 * ms, "a.0", 1, 1950 * ms), keyed.final(1960 * ms, "a.0");
     EXPECT_EQ(keyed.broken(), Rules{});
     Tape late;
-    late.taken(10 * ms, "a.0", "keyed"), late.attempt(11 * ms, "a.0", 1, 20 * ms, 500), late.attempt(2100 * ms, "a.0", 1, 2150 * ms), late.final(2160 * ms, "a.0");
+    late.taken(10 * ms, "a.0", "keyed"), late.attempt(11 * ms, "a.0", 1, 20 * ms, 500),
+        late.attempt(2100 * ms, "a.0", 1, 2150 * ms), late.final(2160 * ms, "a.0");
     EXPECT_EQ(late.broken(), Rules{2});
     Tape outside;
-    outside.taken(10 * ms, "a.0", "keyed"), outside.attempt(11 * ms, "a.0", 1, 20 * ms, 500), outside.attempt(30 * ms, "a.0", 2, 40 * ms), outside.final(50 * ms, "a.0");
+    outside.taken(10 * ms, "a.0", "keyed"), outside.attempt(11 * ms, "a.0", 1, 20 * ms, 500),
+        outside.attempt(30 * ms, "a.0", 2, 40 * ms), outside.final(50 * ms, "a.0");
     EXPECT_EQ(outside.broken(), Rules{2});
     Tape twice = busy;
-    for (const char* engine : {"e1", "e2"}) twice.r.engines.push_back({engine, {15 * ms, "started", "a.0", "", "f", "", "", "", 0, 0, 0}});
+    for (const char* engine : {"e1", "e2"})
+        twice.r.engines.push_back({engine, {15 * ms, "started", "a.0", "", "f", "", "", "", 0, 0, 0}});
     EXPECT_EQ(twice.broken(), Rules{2});
 }
 
@@ -137,7 +163,8 @@
     Tape list;
     list.r.lab.push_back({1 * ms, "list_served", "f", "e1=on,e2=on"});
     list.r.lab.push_back({10 * ms, "list_served", "f", "e1=on"});
-    list.taken(600 * ms, "b.0", "short"), list.attempt(600 * ms, "b.0", 2, 610 * ms), list.final(620 * ms, "b.0");
+    list.taken(600 * ms, "b.0", "short"), list.attempt(600 * ms, "b.0", 2, 610 * ms),
+        list.final(620 * ms, "b.0");
     EXPECT_EQ(list.broken(), Rules{3});
 }
 
@@ -152,7 +179,8 @@
     const auto two = [](Micros second_sent, int first_status) {
         Tape t;
         t.taken(10 * ms, "a.0", "turn", "k"), t.taken(11 * ms, "b.0", "turn", "k");
-        t.attempt(12 * ms, "a.0", 1, 100 * ms, first_status), t.attempt(second_sent, "b.0", 2, second_sent + 50 * ms);
+        t.attempt(12 * ms, "a.0", 1, 100 * ms, first_status),
+            t.attempt(second_sent, "b.0", 2, second_sent + 50 * ms);
         t.final(second_sent + 60 * ms, "a.0"), t.final(second_sent + 60 * ms, "b.0");
         return t.broken();
     };
@@ -181,7 +209,8 @@
 TEST(Checker, Rule7BudgetOfFurtherAttempts) {
     Tape t;
     t.r.facts.extra_free = 1, t.r.facts.extra_per_request = 0.1;
-    for (const char* trace : {"a.0", "b.0"}) t.taken(10 * ms, trace, "short"), t.attempt(11 * ms, trace, 1, 20 * ms, 503);
+    for (const char* trace : {"a.0", "b.0"})
+        t.taken(10 * ms, trace, "short"), t.attempt(11 * ms, trace, 1, 20 * ms, 503);
     t.attempt(21 * ms, "a.0", 2, 30 * ms), t.final(40 * ms, "a.0");
     EXPECT_EQ(t.broken(), Rules{});
     t.attempt(22 * ms, "b.0", 2, 30 * ms), t.final(40 * ms, "b.0");
@@ -205,7 +234,8 @@
     unanswered.attempt(30 * ms, "a.0", 2, 40 * ms), unanswered.final(50 * ms, "a.0");
     Tape told = unanswered;
     told.cancelled(901 * ms, hung, 1);
-    for (Tape* tape : {&told, &unanswered}) tape->taken(9000 * ms, "z.0", "short"), tape->final(9001 * ms, "z.0");
+    for (Tape* tape : {&told, &unanswered})
+        tape->taken(9000 * ms, "z.0", "short"), tape->final(9001 * ms, "z.0");
     EXPECT_EQ(told.broken(), Rules{});
     EXPECT_EQ(unanswered.broken(), Rules{0});
 }
@@ -218,7 +248,8 @@
     std::string text = line_of(t.r.facts);
     for (const auto& s : t.r.sockets) text += line_of(s);
     for (const auto& c : t.r.clients) text += line_of(c);
-    text += line_of(LabRecord{5, "trouble", "x", "y"}) + line_of("e1", engine::Entry{7, "started", "a.0", "i", "f", "u", "s", "t", 1, 2, 3});
+    text += line_of(LabRecord{5, "trouble", "x", "y"}) +
+            line_of("e1", engine::Entry{7, "started", "a.0", "i", "f", "u", "s", "t", 1, 2, 3});
     Records back;
     ASSERT_TRUE(read_records("r", text + "{\"of\":\"soc", back));
     EXPECT_EQ(back.sockets.size(), t.r.sockets.size());
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -25,7 +25,9 @@
 class LoopTest : public ::testing::Test {
 protected:
     template <typename C>
-    bool until(C condition) { return gatetiller::testing::await(loop, condition); }
+    bool until(C condition) {
+        return gatetiller::testing::await(loop, condition);
+    }
     void join() {
         auto listening = loop.listen(*Address::parse("127.0.0.1:0"), [this](auto s) {
             server.stream = std::move(s);
@@ -46,7 +48,8 @@
     const std::size_t size = 32 << 20;
     client.stream->send(std::string(size, 'x'));
     for (int i = 0; i < 200; ++i) loop.turn(kMillisecond);
-    EXPECT_GT(client.stream->unsent(), size / 2);  // the kernel's buffers are full, and this side holds the rest
+    EXPECT_GT(client.stream->unsent(),
+              size / 2);  // the kernel's buffers are full, and this side holds the rest
     EXPECT_EQ(client.sent, 0);
     server.take = true;
     server.stream->offer();
@@ -115,7 +118,8 @@
 }
 
 TEST(Address, ReadsThreeFormsAndSaysWhatIsWrongWithOthers) {
-    for (const char* text : {"127.0.0.1:80", "[::1]:80", "unix:/tmp/x"}) EXPECT_EQ(Address::parse(text)->text(), text);
+    for (const char* text : {"127.0.0.1:80", "[::1]:80", "unix:/tmp/x"})
+        EXPECT_EQ(Address::parse(text)->text(), text);
     for (const char* text : {"127.0.0.1", "host:80", "127.0.0.1:70000", "[::g]:1", "unix:", ""}) {
         const auto parsed = Address::parse(text);
         ASSERT_FALSE(parsed) << text;
--- a/tests/roster/roster_test.cpp
+++ b/tests/roster/roster_test.cpp
@@ -1,8 +1,6 @@
 // Lists of engines that change, come late, break off and come back.
 #include "roster/roster.hpp"
 
-#include "roster/last_list.hpp"
-
 #include <gtest/gtest.h>
 
 #include <filesystem>
@@ -11,13 +9,16 @@
 #include "base/await.hpp"
 #include "http/server.hpp"
 #include "net/poll_loop.hpp"
+#include "roster/last_list.hpp"
 
 namespace gatetiller::roster {
 namespace {
 
 std::string list_of(const std::vector<std::string>& names, const std::string& state = "on") {
     std::string text;
-    for (const auto& n : names) text += (text.empty() ? "" : ", ") + ("\"" + n + "\": {\"address\": \"127.0.0.1:1\", \"state\": \"" + state + "\"}");
+    for (const auto& n : names)
+        text += (text.empty() ? "" : ", ") +
+                ("\"" + n + "\": {\"address\": \"127.0.0.1:1\", \"state\": \"" + state + "\"}");
     return "{\"engines\": {" + text + "}}";
 }
 
@@ -25,10 +26,13 @@
 protected:
     void start(const config::RosterSettings& settings) {
         source = make_source(loop, settings, "f1");
-        source->start({[this](auto list) { last = std::move(list), ++lists; }, [this](const std::string& why) { reason = why, ++lost; }});
+        source->start({[this](auto list) { last = std::move(list), ++lists; },
+                       [this](const std::string& why) { reason = why, ++lost; }});
     }
     template <typename C>
-    bool until(C condition) { return gatetiller::testing::await(loop, condition); }
+    bool until(C condition) {
+        return gatetiller::testing::await(loop, condition);
+    }
     net::PollLoop loop;
     std::unique_ptr<Source> source;
     std::vector<config::EngineSettings> last;
--- a/tests/statement/statement_test.cpp
+++ b/tests/statement/statement_test.cpp
@@ -20,7 +20,8 @@
         case 3: return random.uniform(-1e6, 1e6);
         case 4: {
             std::string s;
-            for (auto n = random.below(8); n > 0; --n) s += std::array{"a", "\"", "\\", "\n", "\x01", "é", "😀", "/"}[random.below(8)];
+            for (auto n = random.below(8); n > 0; --n)
+                s += std::array{"a", "\"", "\\", "\n", "\x01", "é", "😀", "/"}[random.below(8)];
             return s;
         }
         case 5: {
@@ -30,7 +31,8 @@
         }
         default: {
             Json o = Json::object();
-            for (auto n = random.below(4); n > 0; --n) o["k" + std::to_string(random.below(10))] = any(random, depth + 1);
+            for (auto n = random.below(4); n > 0; --n)
+                o["k" + std::to_string(random.below(10))] = any(random, depth + 1);
             return o;
         }
     }
@@ -43,7 +45,8 @@
         for (auto n = random.below(6); n > 0; --n) object["m" + std::to_string(n)] = any(random, 0);
         const bool broken = random.chance(0.5);
         std::string text = object.dump(random.chance(0.5) ? -1 : 2, ' ', broken || random.chance(0.5));
-        // Half a surrogate pair is well-formed by the grammar, though this parser refuses it: not broken there.
+        // Half a surrogate pair is well-formed by the grammar, though this parser refuses it: not broken
+        // there.
         if (broken && text.find("\\ud") == std::string::npos) {
             const std::size_t at = random.below(text.size());
             if (random.chance(0.5)) text.erase(at, 1);
@@ -56,15 +59,11 @@
         for (const auto& m : *found) {
             const Json value = Json::parse(m.raw);
             // Of a name that comes twice, parsers keep the last.
-            if (&m == &found->back()) {
-                EXPECT_EQ(parsed.at(m.key), value) << "seed " << seed;
-            }
+            if (&m == &found->back()) { EXPECT_EQ(parsed.at(m.key), value) << "seed " << seed; }
             if (value.is_string()) {
                 EXPECT_EQ(*as_string(m.raw), value.get<std::string>()) << "seed " << seed;
             }
-            if (value.is_array()) {
-                EXPECT_EQ(array_length(m.raw), value.size()) << "seed " << seed;
-            }
+            if (value.is_array()) { EXPECT_EQ(array_length(m.raw), value.size()) << "seed " << seed; }
         }
     }
     EXPECT_FALSE(members(std::string(200, '[')));
@@ -73,8 +72,10 @@
 
 TEST(Document, WhatAnEngineWroteIsPassedOnAsItStands) {
     const std::string rows = R"([[1,"x\u00e9",1.50,null],[2,"y",0.1e5,{"a":[]}]])";
-    const auto d = read_document(R"({"id":"q","infoUri":"i","nextUri":"http://e/v1/statement/executing/q/s/2","columns":[{"name":"a"}],"data":)" + rows +
-                                 R"(,"stats":{"state":"RUNNING","queued":false,"scheduled":true,"progressPercentage":12.5,"cpuTimeMillis":7,"spilledBytes":9,"rootStage":{"x":1}},"warnings":[{"w":1}],"unknown":[1],"updateCount":3,"updateType":"INSERT"})");
+    const auto d = read_document(
+        R"({"id":"q","infoUri":"i","nextUri":"http://e/v1/statement/executing/q/s/2","columns":[{"name":"a"}],"data":)" +
+        rows +
+        R"(,"stats":{"state":"RUNNING","queued":false,"scheduled":true,"progressPercentage":12.5,"cpuTimeMillis":7,"spilledBytes":9,"rootStage":{"x":1}},"warnings":[{"w":1}],"unknown":[1],"updateCount":3,"updateType":"INSERT"})");
     ASSERT_TRUE(d) << d.error();
     EXPECT_EQ(d->data, rows);
     EXPECT_EQ(d->stats.progress, 12.5);
@@ -92,7 +93,9 @@
     EXPECT_EQ(refused["error"]["message"], "no \"room\"");
     EXPECT_EQ(refused["warnings"], Json::array());
     EXPECT_FALSE(refused.contains("nextUri"));
-    for (const char* bad : {"", "[]", "{}", "{\"id\":\"q\",\"data\":{}}", "{\"id\":\"q\",\"stats\":1}", "{\"id\":\"q\"", "<html>"}) EXPECT_FALSE(read_document(bad)) << bad;
+    for (const char* bad : {"", "[]", "{}", "{\"id\":\"q\",\"data\":{}}", "{\"id\":\"q\",\"stats\":1}",
+                            "{\"id\":\"q\"", "<html>"})
+        EXPECT_FALSE(read_document(bad)) << bad;
 }
 
 TEST(Context, ReadsBothFamiliesAndKeepsWhatAClientSet) {
