What came with a new connection during a stall is known to have waited

Change: a listener reads a new connection in the turn that takes it; connections left for the next turn carry the time over.

--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -155,9 +155,11 @@
         settings_ = loaded->front.module;
         return true;
     }
+    // At its first start the address is waited for; later the same one is taken again.
     Result<bool> start_front(FrontProcess& f) {
-        auto p =
-            Process::start({options_.program, "serve", "--config", f.file}, log_of(f.name), kStartPatience);
+        const std::vector<std::string> command = {options_.program, "serve", "--config", f.file};
+        auto p = f.address.port == 0 ? Process::start(command, log_of(f.name), kStartPatience)
+                                     : Process::spawn(command, log_of(f.name));
         if (!p) return Error{p.error()};
         f.process = std::move(*p);
         note("front_started", f.name);
@@ -248,8 +250,7 @@
     }
     void up(EngineProcess& e) {
         if (e.process.running()) return;
-        auto p = Process::start({options_.program, "engine", "--config", e.file}, log_of(e.facts.name),
-                                kStartPatience);
+        auto p = Process::spawn({options_.program, "engine", "--config", e.file}, log_of(e.facts.name));
         if (!p) return note("engine_failed", e.facts.name, p.error());
         e.process = std::move(*p);
         e.drains = false, e.faults = json::object();
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -33,8 +33,7 @@
     if (out_ >= 0) ::close(out_);
 }
 
-Result<Process> Process::start(const std::vector<std::string>& command, const std::string& log,
-                               Micros patience) {
+Result<Process> Process::spawn(const std::vector<std::string>& command, const std::string& log) {
     int ends[2];
     if (::pipe2(ends, O_CLOEXEC) != 0) return Error{std::string("pipe: ") + std::strerror(errno)};
     posix_spawn_file_actions_t actions;
@@ -62,6 +61,14 @@
         p.pid_ = -1;
         return Error{command[0] + ": " + std::strerror(failed)};
     }
+    return p;
+}
+
+Result<Process> Process::start(const std::vector<std::string>& command, const std::string& log,
+                               Micros patience) {
+    auto spawned = spawn(command, log);
+    if (!spawned) return spawned;
+    Process& p = *spawned;
     for (char c = 0;;) {
         pollfd ready{p.out_, POLLIN, 0};
         if (::poll(&ready, 1, static_cast<int>(patience / kMillisecond)) <= 0)
@@ -71,7 +78,7 @@
         if (c == '\n') break;
         p.line_ += c;
     }
-    return p;
+    return spawned;
 }
 
 void Process::kill() {
--- a/src/net/poll_loop.cpp
+++ b/src/net/poll_loop.cpp
@@ -230,8 +230,11 @@
             socket->peer =
                 address.family == Address::Family::local ? address.text() : from_kernel(from, address).text();
             loop.watch(socket, POLLIN);
-            accepted(std::make_unique<SocketStream>(std::move(socket)));
+            accepted(std::make_unique<SocketStream>(socket));
+            // What was sent along with the connection is there as a rule, and waited as long as it did.
+            if (socket->fd >= 0 && socket->owner) socket->read_in();
         }
+        loop.behind_ = true;  // more may wait, since as long ago
     }
     void rest() {
         loop.want(*this, 0);
@@ -419,7 +422,8 @@
     const int n = ::ppoll(polled_.data(), polled_.size(), &limit, nullptr);
     refresh();
     // The last turn's work, and what the wait took longer than it should have.
-    unseen_ = asked - before + std::max<Micros>(0, now_ - asked - wait);
+    const Micros carried = std::exchange(behind_, false) ? unseen_ : 0;
+    unseen_ = carried + asked - before + std::max<Micros>(0, now_ - asked - wait);
     if (n > 0) {
         ready_.reserve(static_cast<std::size_t>(n));
         for (std::size_t i = 0, left = static_cast<std::size_t>(n); i < polled_.size() && left > 0; ++i)
--- a/src/net/poll_loop.hpp
+++ b/src/net/poll_loop.hpp
@@ -64,6 +64,7 @@
     Limits limits_;
     Micros now_ = 0, unseen_ = 0;
     bool stopping_ = false;
+    bool behind_ = false;  // a listener left connections for the next turn
     std::uint64_t turns_ = 0;
     TimerId last_timer_ = 0;
     std::set<std::pair<Micros, TimerId>> due_;
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
 
 #include "base/await.hpp"
@@ -110,6 +111,40 @@
     EXPECT_GE(loop.unseen(), 25 * kMillisecond);
 }
 
+TEST_F(LoopTest, WhatCameWithNewConnectionsDuringAStallIsKnownToHaveWaited) {
+    // Said before this loop ever saw the connection: whoever reads it must learn that it may be old, however
+    // many came.
+    struct Late final : StreamEvents {
+        Late(PollLoop& l, std::unique_ptr<Stream> s) : loop(l), stream(std::move(s)) {
+            stream->events(*this);
+        }
+        void on_data(Buffer& in) override { in.clear(), waited = loop.unseen(); }
+        void on_closed(Closed) override {}
+        PollLoop& loop;
+        std::unique_ptr<Stream> stream;
+        std::optional<Micros> waited;
+    };
+    std::vector<std::unique_ptr<Late>> late;
+    auto door = loop.listen(*Address::parse("127.0.0.1:0"),
+                            [&](auto s) { late.push_back(std::make_unique<Late>(loop, std::move(s))); });
+    loop.turn(0);
+    PollLoop other;
+    std::vector<std::unique_ptr<End>> ends;
+    for (int i = 0; i < 150; ++i) {
+        ends.push_back(std::make_unique<End>());
+        ends.back()->stream = other.connect((*door)->address(), *ends.back(), kSecondMicros);
+        ends.back()->stream->send("old");
+    }
+    for (int i = 0; i < 20; ++i) other.turn(kMillisecond);
+    const timespec stall{0, 40'000'000};
+    nanosleep(&stall, nullptr);
+    ASSERT_TRUE(until([&] {
+        return late.size() == 150 &&
+               std::all_of(late.begin(), late.end(), [](auto& l) { return l->waited.has_value(); });
+    }));
+    for (const auto& l : late) EXPECT_GE(*l->waited, 35 * kMillisecond);
+}
+
 TEST_F(LoopTest, SignalsComeAsCalls) {
     int got = 0;
     loop.on_signals({SIGUSR1}, [&](int s) { got = s; });
