--- a/src/base/text.hpp
+++ b/src/base/text.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -43,6 +44,13 @@
     return value;
 }
 
+// FNV-1a: the same number for the same text on every machine. `seed` gives another family of them.
+inline std::uint64_t hash_of(std::string_view text, std::uint64_t seed = 0) {
+    std::uint64_t hash = 14695981039346656037ULL ^ seed;
+    for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    return hash;
+}
+
 // `*` stands for any run of characters; everything else for itself. Linear in practice, no recursion.
 inline bool glob_matches(std::string_view pattern, std::string_view text) {
     std::size_t p = 0, t = 0, star = std::string_view::npos, mark = 0;
--- a/src/bench/wire.cpp
+++ b/src/bench/wire.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <ostream>
 
+#include "base/overloaded.hpp"
+
 namespace gatetiller::wire {
 namespace {
 
@@ -220,11 +222,6 @@
 
 constexpr std::string_view kDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
-template <typename... Ts>
-struct Overloaded : Ts... {
-    using Ts::operator()...;
-};
-
 }  // namespace
 
 Settings parse_settings(std::string_view json) {
--- a/src/decide/routing.cpp
+++ b/src/decide/routing.cpp
@@ -32,12 +32,10 @@
     return "";
 }
 
-// FNV-1a, so that all fronts give a group the same number. Never 0, which means none.
+// All fronts give a group the same number. Never 0, which means none.
 std::int64_t number_of(const std::string& name) {
     if (name.empty()) return 0;
-    std::uint64_t hash = 14695981039346656037ULL;
-    for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
-    return static_cast<std::int64_t>(hash >> 12 | 1);
+    return static_cast<std::int64_t>(hash_of(name) >> 12 | 1);
 }
 
 }  // namespace
--- a/src/engine/model.cpp
+++ b/src/engine/model.cpp
@@ -42,10 +42,7 @@
     if (static_cast<double>(jobs_.size()) >= s_.sessions_per_core * s_.cores) return Taken::full;
     if (!job.key.empty() && s_.key_window > 0) {
         std::erase_if(keys_, [&](const auto& k) { return now - k.second > s_.key_window; });
-        if (!keys_.emplace(job.key, now).second) {
-            repeats_ += job.work;
-            return Taken::repeat;
-        }
+        if (!keys_.emplace(job.key, now).second) return Taken::repeat;
     }
     id = ++last_;
     Running r;
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -74,7 +74,6 @@
     bool fallen() const { return fallen_; }
     std::size_t jobs() const { return jobs_.size(); }
     double work_done() const { return work_done_; }  // in all, core-microseconds
-    double work_of_repeats_dropped() const { return repeats_; }
     void slow(Micros now, double times) { advance(now), slow_ = times, rates_stale_ = true; }
     void flush_warm() { warm_.clear(); }
 
@@ -103,7 +102,7 @@
     std::map<std::string, Micros> keys_;
     std::deque<std::pair<Micros, double>> sent_;  // while cold: work sent, for falling over
     JobId last_ = 0;
-    double granted_ = 0, slow_ = 1, work_done_ = 0, repeats_ = 0, disks_busy_ = 0;
+    double granted_ = 0, slow_ = 1, work_done_ = 0, disks_busy_ = 0;
     bool fallen_ = false, rates_stale_ = false;
 };
 
--- a/src/engine/service.cpp
+++ b/src/engine/service.cpp
@@ -12,12 +12,6 @@
     R"([{"name":"n","type":"bigint","typeSignature":{"rawType":"bigint","arguments":[]}},)"
     R"({"name":"value","type":"varchar","typeSignature":{"rawType":"varchar","arguments":[{"kind":"LONG","value":2147483647}]}}])";
 
-std::uint64_t hash_of(std::string_view text, std::uint64_t seed) {
-    std::uint64_t hash = 14695981039346656037ULL ^ seed;
-    for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
-    return hash;
-}
-
 }  // namespace
 
 std::string row_of(std::string_view sql, std::size_t index) { return Random(hash_of(sql, index)).hex(16); }
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/overloaded.hpp"
 #include "statement/json.hpp"
 #include "statement/load_report.hpp"
 
@@ -25,17 +26,21 @@
     return std::to_string(std::max<Micros>(1, (span + kSecondMicros - 1) / kSecondMicros));
 }
 
+// This front's own word on a statement, with what is known of its work.
+statement::Document failed_document(const statement::Stats& stats, const char* name, std::string message) {
+    statement::Document d;
+    d.stats = stats;
+    d.stats.state = "FAILED";
+    d.error = statement::error_named(name, std::move(message));
+    return d;
+}
+
 std::vector<std::string> tenant_names(const Settings& s) {
     std::vector<std::string> names;
     for (const auto& t : s.tenants) names.push_back(t.name);
     return names;
 }
 
-template <typename... Ts>
-struct Overloaded : Ts... {
-    using Ts::operator()...;
-};
-
 }  // namespace
 
 struct Front::Attempt final : statement::EngineCall::Events {
@@ -70,7 +75,6 @@
     std::string id;
     statement::Submission submission;
     decide::Routed routed;
-    std::string user;
     Micros arrived = 0, deadline = 0, first_sent = 0, ended_at = 0;
     std::vector<std::unique_ptr<Attempt>> attempts;
     double grant_mb = 0;
@@ -91,7 +95,6 @@
       deps_(std::move(deps)),
       router_(settings_.routes, tenant_names(settings_.module)),
       holding_(settings_.holding),
-      metrics_(settings_.module),
       brain_(loop.now(), deps_.seed, settings_.module),
       engines_(
           loop, settings_,
@@ -169,7 +172,7 @@
     const auto cls =
         std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == routed->cls; });
     auto r = std::make_unique<Running>();
-    r->id = id, r->routed = std::move(*routed), r->user = c.user, r->arrived = loop_.now();
+    r->id = id, r->routed = std::move(*routed), r->arrived = loop_.now();
     const Micros limit = c.run_limit > 0 ? std::min(c.run_limit, cls->deadline) : cls->deadline;
     const Micros left = decide::time_left(limit, loop_.unseen(), settings_.answer_reserve);
     r->deadline = r->arrived + left;
@@ -219,11 +222,11 @@
 // The client has its final document, or has left. What is known is written down; the rest is freed once no
 // attempt is out any more.
 void Front::finish(Running& r) {
-    holding_.finished(r.user);
+    holding_.finished(r.submission.context.user);
     const Micros now = loop_.now(), ended = r.ended_at > 0 ? r.ended_at : now;
     Finished f{r.id,
                r.submission.context.trace_token,
-               r.user,
+               r.submission.context.user,
                r.routed.cls,
                r.routed.tenant,
                r.last_engine,
@@ -312,11 +315,8 @@
                           [&](const Refuse& a) {
                               Running* r = find(a.id);
                               if (!r || r->life.finished()) return;
-                              statement::Document d;
-                              d.stats = r->stats;
-                              d.stats.state = "FAILED";
-                              d.error = statement::error_named(
-                                  "QUERY_QUEUE_FULL",
+                              auto d = failed_document(
+                                  r->stats, "QUERY_QUEUE_FULL",
                                   "refused, trying again is harmless" +
                                       (r->last_error.empty() ? std::string(": no engine has room in time")
                                                              : ": " + r->last_error));
@@ -325,16 +325,13 @@
                           [&](const Fail& a) {
                               Running* r = find(a.id);
                               if (!r || r->life.finished()) return;
-                              statement::Document d;
-                              d.stats = r->stats;
-                              d.stats.state = "FAILED";
                               const bool late =
                                   r->last == Outcome::etimedout || loop_.now() + kNearDeadline >= r->deadline;
                               const char* name = late                             ? "EXCEEDED_TIME_LIMIT"
                                                  : r->last == Outcome::econnreset ? "REMOTE_HOST_GONE"
                                                                                   : "GENERIC_INTERNAL_ERROR";
-                              d.error = statement::error_named(
-                                  name,
+                              auto d = failed_document(
+                                  r->stats, name,
                                   "it may have run" + (r->last_error.empty() ? "" : ": " + r->last_error));
                               answer_finally(*r, std::move(d), Ended::failed, 0);
                           },
@@ -470,12 +467,10 @@
               : end.how == Call::late         ? How::late
                                               : How::lost;
     how.status = end.status;
-    statement::Document d;
-    d.stats = a.stats;
-    d.stats.state = "FAILED";
-    const std::string engine = a.running.last_engine;
-    d.error = statement::error_named("REMOTE_HOST_GONE", "engine " + engine + ": " + end.text);
-    end_attempt(a, how, std::move(d), {});
+    end_attempt(
+        a, how,
+        failed_document(a.stats, "REMOTE_HOST_GONE", "engine " + a.running.last_engine + ": " + end.text),
+        {});
 }
 
 void Front::end_attempt(Attempt& a, decide::AttemptEnd how, statement::Document d,
--- a/src/front/metrics.cpp
+++ b/src/front/metrics.cpp
@@ -31,7 +31,7 @@
 
 }  // namespace
 
-Metrics::Metrics(const Settings&)
+Metrics::Metrics()
     : registry_(std::make_shared<prometheus::Registry>()),
       taken_(prometheus::BuildCounter()
                  .Name("gatetiller_statements_taken_total")
--- a/src/front/metrics.hpp
+++ b/src/front/metrics.hpp
@@ -38,7 +38,7 @@
 
 class Metrics {
 public:
-    explicit Metrics(const Settings& module);
+    Metrics();
     void taken(const std::string& cls);
     void turned_away(const char* why);
     void attempt(Outcome outcome);
--- a/src/lab/cost.cpp
+++ b/src/lab/cost.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 #include <vector>
 
+#include "lab/percentile.hpp"
 #include "lab/process.hpp"
 #include "net/poll_loop.hpp"
 #include "statement/client.hpp"
@@ -33,12 +34,6 @@
 constexpr const char* kEngine =
     "{ listen: '127.0.0.1:0', machine: { cores: 64, memory: '64GiB', sessions_per_core: 100, knee: 50 } }";
 
-double percentile(std::vector<double> v, double p) {
-    if (v.empty()) return 0;
-    std::sort(v.begin(), v.end());
-    return v[std::min(v.size() - 1, static_cast<std::size_t>(p * static_cast<double>(v.size())))];
-}
-
 // Seconds of CPU that a process has used, and its resident memory in KiB.
 std::pair<double, double> usage(pid_t pid) {
     std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
--- a/src/lab/day.cpp
+++ b/src/lab/day.cpp
@@ -9,6 +9,7 @@
 
 #include "config/settings.hpp"
 #include "http/server.hpp"
+#include "lab/percentile.hpp"
 #include "lab/process.hpp"
 #include "net/poll_loop.hpp"
 #include "statement/server.hpp"
@@ -26,7 +27,6 @@
     std::string file;
     Process process;
     json faults = json::object();
-    bool drains = false;
     std::string listed = "on";  // what the list says, once notice was given
     bool lied_about = false;    // the list calls it gone whatever it is
 };
@@ -116,7 +116,6 @@
         facts.turn_gap = settings_.turn_gap;
         facts.ratio_span = settings_.ratio_span, facts.extra_free = settings_.extra_free,
         facts.extra_per_request = settings_.extra_per_request;
-        facts.list_path = "/engines";
         records_out_ << line_of(facts);
         // Engines have answered their state, and the list has come, before the first statement.
         for (const Micros until = loop_.now() + script_.lead; loop_.now() < until;)
@@ -253,12 +252,11 @@
         auto p = Process::spawn({options_.program, "engine", "--config", e.file}, log_of(e.facts.name));
         if (!p) return note("engine_failed", e.facts.name, p.error());
         e.process = std::move(*p);
-        e.drains = false, e.faults = json::object();
+        e.faults = json::object();
         note("engine_up", e.facts.name);
         list_as(e, "on");
     }
     void drain(EngineProcess& e) {
-        e.drains = true;
         http_[e.facts.name]
             ->send({"PUT", "/v1/info/state", 1, {}, "\"SHUTTING_DOWN\"", {}}, 5 * kSecondMicros,
                    [](const http::Answer&) {})
@@ -463,13 +461,6 @@
     bool list_down_ = false, calm_ = false, interrupted_ = false;
 };
 
-double percentile(std::vector<double> sorted, double p) {
-    if (sorted.empty()) return 0;
-    std::sort(sorted.begin(), sorted.end());
-    return sorted[std::min(sorted.size() - 1,
-                           static_cast<std::size_t>(p * static_cast<double>(sorted.size())))];
-}
-
 }  // namespace
 
 Result<DayResult> run_day(const Script& script, const DayOptions& options) {
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -120,9 +120,7 @@
              " threads=" + fixed(c.threads) + " io=" + fixed(c.io) + " mem_mb=" + fixed(r->memory_mb) +
              " group=" + r->group + " rows=" + std::to_string(r->rows) + (c.load ? " load=1" : "") +
              (c.yields ? " yields=1" : "") + " */";
-    const ClassSettings* settings = nullptr;
-    for (const auto& s : classes_)
-        if (s.name == c.name) settings = &s;
+    const ClassSettings* settings = settings_of(r->cls);
     const Micros deadline = settings ? settings->deadline : 10 * kSecondMicros;
     r->asked = loop_.now();
     r->aim = settings ? std::min(deadline, settings->aim + static_cast<Micros>(settings->aim_stretch *
@@ -140,6 +138,12 @@
     return r;
 }
 
+const ClassSettings* Load::settings_of(std::size_t cls) const {
+    for (const auto& s : classes_)
+        if (s.name == traffic_.classes[cls].name) return &s;
+    return nullptr;
+}
+
 std::size_t Load::choose_front() {
     std::vector<std::size_t> alive;
     for (std::size_t i = 0; i < fronts_.size(); ++i)
@@ -247,9 +251,7 @@
         back = r.how == How::unreachable;
         dead_until_[t.front] = loop_.now() + kDeadFor;
     }
-    const ClassSettings* settings = nullptr;
-    for (const auto& s : classes_)
-        if (s.name == traffic_.classes[request->cls].name) settings = &s;
+    const ClassSettings* settings = settings_of(request->cls);
     const bool served = detail == "served";
     const bool may = back || (settings && settings->effect == Effect::repeatable) ||
                      (settings && settings->effect == Effect::by_key && settings->key_scope == Scope::all);
--- a/src/lab/load.hpp
+++ b/src/lab/load.hpp
@@ -63,7 +63,6 @@
     // The plain layer before the fronts: clients go elsewhere for a while once a front was found dead.
     bool over() const { return stopped_ && tries_.empty() && waiting_ == 0; }
     std::size_t asked() const { return requests_; }
-    std::size_t open() const { return tries_.size(); }
     const std::map<std::string, std::size_t>& outcomes() const { return outcomes_; }
     const std::vector<double>& latencies_ms() const { return latencies_; }
 
@@ -77,6 +76,7 @@
     void again(std::shared_ptr<Request> request, Micros wait);
     void note(const char* event, const Try& t, std::string detail = "");
     std::size_t choose_front();
+    const ClassSettings* settings_of(std::size_t cls) const;  // nothing where the front doesn't know it
     std::shared_ptr<Request> draw();
 
     net::Loop& loop_;
--- a/src/lab/process.hpp
+++ b/src/lab/process.hpp
@@ -20,8 +20,8 @@
     Process& operator=(Process&& other) noexcept;
     ~Process();  // kills it
 
-    // Starts `command` with its standard error appended to `log`, and returns at once: whoever plays clients meanwhile
-    // must not stand still for it.
+    // Starts `command` with its standard error appended to `log`, and returns at once: whoever plays clients
+    // meanwhile must not stand still for it.
     static Result<Process> spawn(const std::vector<std::string>& command, const std::string& log);
     // The same, and waits for the first line on its standard output.
     static Result<Process> start(const std::vector<std::string>& command, const std::string& log,
--- a/src/lab/records.cpp
+++ b/src/lab/records.cpp
@@ -37,8 +37,7 @@
     for (const auto& e : j.at("engines"))
         f.engines.push_back({e.at("name"), e.at("address"), e.at("zone"), e.at("kind"), e.at("cell")});
     f.answer_grace = j.at("answer_grace"), f.drain_grace = j.at("drain_grace"), f.turn_gap = j.at("turn_gap");
-    f.ratio_span = j.at("ratio_span"), f.may_duplicate = j.at("may_duplicate"),
-    f.list_path = j.at("list_path");
+    f.ratio_span = j.at("ratio_span"), f.may_duplicate = j.at("may_duplicate");
     if (j.contains("extra_free"))
         f.extra_free = j["extra_free"], f.extra_per_request = j["extra_per_request"];
     return f;
@@ -120,8 +119,7 @@
               {"drain_grace", f.drain_grace},
               {"turn_gap", f.turn_gap},
               {"ratio_span", f.ratio_span},
-              {"may_duplicate", f.may_duplicate},
-              {"list_path", f.list_path}};
+              {"may_duplicate", f.may_duplicate}};
     for (const auto& c : f.classes) {
         Json k = {{"name", c.name},
                   {"deadline", c.deadline},
--- a/src/lab/records.hpp
+++ b/src/lab/records.hpp
@@ -60,7 +60,6 @@
     Micros answer_grace = 0, drain_grace = 0, turn_gap = 0, ratio_span = 0;
     std::optional<double> extra_free, extra_per_request;
     bool may_duplicate = false;
-    std::string list_path;  // where fronts fetch the list of engines; empty: nowhere
 };
 
 struct Records {
--- a/src/net/poll_loop.cpp
+++ b/src/net/poll_loop.cpp
@@ -411,7 +411,6 @@
 }
 
 void PollLoop::turn(Micros longest) {
-    ++turns_;
     const Micros before = now_;
     flush();
     Micros wait = to_flush_.empty() && to_offer_.empty() ? longest : 0;
--- a/src/net/poll_loop.hpp
+++ b/src/net/poll_loop.hpp
@@ -42,8 +42,6 @@
     void run();                        // until stop()
     void stop() { stopping_ = true; }  // after the present turn
     void turn(Micros longest);         // one turn, waiting no longer than this
-    std::size_t watched() const { return polled_.size(); }
-    std::uint64_t turns() const { return turns_; }
 
 private:
     struct Watched;
@@ -65,7 +63,6 @@
     Micros now_ = 0, unseen_ = 0;
     bool stopping_ = false;
     bool behind_ = false;  // a listener left connections for the next turn
-    std::uint64_t turns_ = 0;
     TimerId last_timer_ = 0;
     std::set<std::pair<Micros, TimerId>> due_;
     std::map<TimerId, std::pair<Micros, std::function<void()>>> timers_;
--- a/src/statement/engine_call.hpp
+++ b/src/statement/engine_call.hpp
@@ -53,7 +53,6 @@
     void cancel();
     void drop();  // ends here without a word to the engine
     bool over() const { return state_ == State::over; }
-    bool answered_once() const { return !next_.empty(); }
 
 private:
     enum class State { idle, posting, has_next, polling, over };
--- a/src/statement/server.cpp
+++ b/src/statement/server.cpp
@@ -93,12 +93,12 @@
     const std::string id = day_stamp(loop_.wall()) + "_" + count + "_" + run_;
     Session& s = sessions_[id];
     s.slug = "y" + entropy_();
-    s.user = context->user, s.prefix = context->prefix, s.sql = request.body, s.base = base_of(request);
+    s.user = context->user, s.sql = request.body, s.base = base_of(request);
     s.asked = loop_.now();
     s.place = by_asking_.insert(by_asking_.end(), id);
     // Answered before it is run: some clients pass over rows and errors of this first document.
     Document first;
-    first.id = id, first.info_uri = s.base + std::string(kQuery) + id, first.next_uri = uri(id, s, 1);
+    first.id = id, first.info_uri = info_uri(id, s), first.next_uri = uri(id, s, 1);
     first.stats.queued = true;
     http::Response response = json_response(200, write_document(first));
     if (auto refused =
@@ -110,6 +110,10 @@
     answer(reply, std::move(response));
 }
 
+std::string ServerSide::info_uri(const std::string& id, const Session& s) {
+    return s.base + std::string(kQuery) + id;
+}
+
 std::string ServerSide::uri(const std::string& id, const Session& s, std::uint64_t token) const {
     const char* phase = s.state == "QUEUED" ? "/queued/" : "/executing/";
     return s.base + std::string(kStatement) + phase + id + "/" + s.slug + "/" + std::to_string(token);
@@ -177,7 +181,7 @@
 
 void ServerSide::give_progress(const std::string& id, Session& s, http::Server::Reply reply) {
     Document d;
-    d.id = id, d.info_uri = s.base + std::string(kQuery) + id;
+    d.id = id, d.info_uri = info_uri(id, s);
     d.stats = backend_.progress(id);
     s.state = d.stats.state;
     d.next_uri = uri(id, s, s.token + 2);
@@ -201,7 +205,7 @@
     Document& d = next.document;
     const bool final = d.final();
     s.state = d.stats.state;
-    d.id = id, d.info_uri = s.base + std::string(kQuery) + id;
+    d.id = id, d.info_uri = info_uri(id, s);
     d.partial_cancel_uri.clear();
     d.next_uri = final ? "" : uri(id, s, s.token + 2);
     ++s.token;
--- a/src/statement/server.hpp
+++ b/src/statement/server.hpp
@@ -75,7 +75,6 @@
     std::size_t waiting_bytes(const std::string& id) const;
     std::size_t waiting_in_all() const { return waiting_in_all_; }
     bool starting = false, draining = false;
-    std::size_t live() const { return by_asking_.size(); }
     std::size_t kept() const { return finished_.size(); }
 
 private:
@@ -84,7 +83,7 @@
         http::Headers headers;
     };
     struct Session {
-        std::string slug, user, prefix, sql, base;
+        std::string slug, user, sql, base;
         std::uint64_t token = 0;  // of the latest document given out
         http::Response latest;
         std::deque<Waiting> waiting;
@@ -114,6 +113,7 @@
     void sweep();
     void answer(http::Server::Reply& reply, http::Response response);
     std::string base_of(const http::Request& request) const;
+    static std::string info_uri(const std::string& id, const Session& s);
 
     net::Loop& loop_;
     ServerSideOptions options_;
