--- a/src/base/buffer.hpp
+++ b/src/base/buffer.hpp
@@ -1,5 +1,5 @@
-// Bytes on their way: appended at the end, taken from the front. One piece of memory; views are good until the
-// next append. Memory that was needed once for a large message is given back when the buffer runs empty.
+// Bytes on their way: appended at the end, taken from the front. One piece of memory; views are good until
+// the next append. Memory that was needed once for a large message is given back when the buffer runs empty.
 #pragma once
 
 #include <cassert>
--- a/src/base/random.hpp
+++ b/src/base/random.hpp
@@ -1,5 +1,5 @@
-// Seeded random numbers (SplitMix64): the same sequence for the same seed on every machine, which the standard
-// library's distributions don't promise.
+// Seeded random numbers (SplitMix64): the same sequence for the same seed on every machine, which the
+// standard library's distributions don't promise.
 #pragma once
 
 #include <cmath>
--- a/src/base/units.hpp
+++ b/src/base/units.hpp
@@ -1,4 +1,5 @@
-// Times and sizes with their units, as configurations and headers have them: "750ms", "1.5h", "16GiB", "10GB".
+// Times and sizes with their units, as configurations and headers have them: "750ms", "1.5h", "16GiB",
+// "10GB".
 #pragma once
 
 #include <cmath>
@@ -17,11 +18,13 @@
 };
 
 template <std::size_t N>
-Result<double> with_unit(std::string_view text, const Unit (&units)[N], const char* what, const char* allowed) {
+Result<double> with_unit(std::string_view text, const Unit (&units)[N], const char* what,
+                         const char* allowed) {
     const std::string_view t = trimmed(text);
     const std::size_t end = t.find_first_not_of("0123456789.");
     const auto wrong = [&](const char* why) {
-        return Error{"'" + std::string(text) + "' is not a " + what + ": " + why + "; write a number and one of " + allowed};
+        return Error{"'" + std::string(text) + "' is not a " + what + ": " + why +
+                     "; write a number and one of " + allowed};
     };
     if (end == std::string_view::npos) return wrong("the unit is missing");
     const auto value = to_number<double>(t.substr(0, end));
@@ -37,7 +40,7 @@
 }  // namespace units
 
 inline Result<Micros> parse_span(std::string_view text) {
-    constexpr units::Unit kUnits[] = {{"us", 1},       {"ms", 1e3},      {"s", 1e6},
+    constexpr units::Unit kUnits[] = {{"us", 1},       {"ms", 1e3},       {"s", 1e6},
                                       {"m", 60 * 1e6}, {"h", 3600 * 1e6}, {"d", 86400 * 1e6}};
     const auto value = units::with_unit(text, kUnits, "time", "us, ms, s, m, h, d");
     if (!value) return Error{value.error()};
@@ -45,9 +48,9 @@
 }
 
 inline Result<double> parse_bytes(std::string_view text) {
-    constexpr units::Unit kUnits[] = {{"B", 1},      {"kB", 1e3},         {"KB", 1e3},     {"MB", 1e6},
-                                      {"GB", 1e9},   {"TB", 1e12},        {"KiB", 1024.0}, {"MiB", 1048576.0},
-                                      {"GiB", 1073741824.0}, {"TiB", 1099511627776.0}};
+    constexpr units::Unit kUnits[] = {
+        {"B", 1},     {"kB", 1e3},     {"KB", 1e3},        {"MB", 1e6},           {"GB", 1e9},
+        {"TB", 1e12}, {"KiB", 1024.0}, {"MiB", 1048576.0}, {"GiB", 1073741824.0}, {"TiB", 1099511627776.0}};
     return units::with_unit(text, kUnits, "size", "B, kB, MB, GB, TB, KiB, MiB, GiB, TiB");
 }
 
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <CLI/CLI.hpp>
-
 #include <string>
 
 namespace gatetiller::cli {
--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -28,10 +28,12 @@
 void add_lab(CLI::App& app, Common& common) {
     auto* lab = app.add_subcommand("lab", "scripted days on loopback");
     lab->require_subcommand(1);
-    auto* day = lab->add_subcommand("day", "a day with real fronts, engines and clients, judged by the seven rules");
+    auto* day =
+        lab->add_subcommand("day", "a day with real fronts, engines and clients, judged by the seven rules");
     auto script = std::make_shared<std::string>(), folder = std::make_shared<std::string>("records/day");
     auto seed = std::make_shared<std::uint64_t>(0);
-    day->add_option("script", *script, "the day's script (Jsonnet), or a day of the operators' bench (.json)")->required();
+    day->add_option("script", *script, "the day's script (Jsonnet), or a day of the operators' bench (.json)")
+        ->required();
     day->add_option("--folder", *folder, "for configurations, logs and records")->capture_default_str();
     day->add_option("--seed", *seed, "in place of the script's");
     day->footer("Example: gatetiller lab day examples/day.jsonnet --folder records/day");
@@ -42,18 +44,21 @@
         if (text && script->ends_with(".json")) loaded = from_bench(*script, *text);
         if (!loaded) return void(std::fprintf(stderr, "%s\n", loaded.error().c_str()));
         if (*seed != 0) loaded->seed = *seed;
-        auto result = lab::run_day(*loaded, {std::filesystem::read_symlink("/proc/self/exe").string(), *folder});
+        auto result =
+            lab::run_day(*loaded, {std::filesystem::read_symlink("/proc/self/exe").string(), *folder});
         if (!result) return void(std::fprintf(stderr, "%s\n", result.error().c_str()));
         std::fputs(lab::report_of(*result).c_str(), stdout);
         common.code = result->judgement.violations.empty() ? 0 : 1;
     });
 
-    auto* cost = lab->add_subcommand("cost", "what a front costs: latency added, CPU, memory, statements a second");
+    auto* cost =
+        lab->add_subcommand("cost", "what a front costs: latency added, CPU, memory, statements a second");
     auto o = std::make_shared<lab::CostOptions>();
     o->folder = "records/cost";
     cost->add_option("--folder", o->folder, "for configurations and logs")->capture_default_str();
     cost->add_option("--seconds", o->seconds, "of each phase")->capture_default_str();
-    cost->add_option("--waiting", o->waiting, "statements that wait, and idle connections")->capture_default_str();
+    cost->add_option("--waiting", o->waiting, "statements that wait, and idle connections")
+        ->capture_default_str();
     cost->add_option("--clients", o->clients, "that ask without a pause")->capture_default_str();
     cost->footer("Example: gatetiller lab cost --seconds 4");
     cost->callback([=, &common] {
--- a/src/cli/process.cpp
+++ b/src/cli/process.cpp
@@ -9,9 +9,11 @@
 namespace gatetiller::cli {
 
 std::shared_ptr<spdlog::logger> make_logger(const std::string& format, const std::string& level) {
-    auto logger = std::make_shared<spdlog::logger>("gatetiller", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    auto logger =
+        std::make_shared<spdlog::logger>("gatetiller", std::make_shared<spdlog::sinks::stderr_sink_mt>());
     // In JSON each message is itself a list of members, so that one line is one object.
-    logger->set_pattern(format == "json" ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})" : "%Y-%m-%d %H:%M:%S.%e %l %v",
+    logger->set_pattern(format == "json" ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})"
+                                         : "%Y-%m-%d %H:%M:%S.%e %l %v",
                         spdlog::pattern_time_type::utc);
     logger->set_level(spdlog::level::from_str(level));
     logger->flush_on(spdlog::level::info);
--- a/src/cli/query.cpp
+++ b/src/cli/query.cpp
@@ -15,13 +15,16 @@
 namespace {
 
 struct Ask {
-    std::string server = "http://127.0.0.1:8080", sql, user = "operator", source = "gatetiller-query", catalog, schema, format = "table";
+    std::string server = "http://127.0.0.1:8080", sql, user = "operator", source = "gatetiller-query",
+                catalog, schema, format = "table";
     std::vector<std::string> tags, session;
     double patience = 300;
     int tries = 3;
 };
 
-std::string cell(const nlohmann::json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+std::string cell(const nlohmann::json& value) {
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
 
 std::string csv(const std::string& text) {
     if (text.find_first_of(",\"\n\r") == std::string::npos) return text;
@@ -36,7 +39,8 @@
     explicit Printer(std::string format) : format_(std::move(format)) {}
     void take(const statement::Document& d) {
         if (!d.columns.empty() && names_.empty())
-            for (const auto& column : nlohmann::json::parse(d.columns)) names_.push_back(column.value("name", "?"));
+            for (const auto& column : nlohmann::json::parse(d.columns))
+                names_.push_back(column.value("name", "?"));
         if (!d.has_rows()) return;
         const auto rows = nlohmann::json::parse(d.data);
         if (!head_) head(rows);
@@ -50,7 +54,9 @@
             }
             for (std::size_t i = 0; i < row.size(); ++i) {
                 if (format_ == "csv") std::printf("%s%s", i ? "," : "", csv(cell(row[i])).c_str());
-                else std::printf("%s%-*s", i ? " | " : "", static_cast<int>(i < widths_.size() ? widths_[i] : 0), cell(row[i]).c_str());
+                else
+                    std::printf("%s%-*s", i ? " | " : "",
+                                static_cast<int>(i < widths_.size() ? widths_[i] : 0), cell(row[i]).c_str());
             }
             std::printf("\n");
         }
@@ -62,7 +68,8 @@
         head_ = true;
         for (const auto& n : names_) widths_.push_back(n.size());
         for (const auto& row : rows)
-            for (std::size_t i = 0; i < row.size() && i < widths_.size(); ++i) widths_[i] = std::max(widths_[i], cell(row[i]).size());
+            for (std::size_t i = 0; i < row.size() && i < widths_.size(); ++i)
+                widths_[i] = std::max(widths_[i], cell(row[i]).size());
         if (format_ == "json") return;
         for (std::size_t i = 0; i < names_.size(); ++i) {
             if (format_ == "csv") std::printf("%s%s", i ? "," : "", csv(names_[i]).c_str());
@@ -70,7 +77,8 @@
         }
         std::printf("\n");
         if (format_ != "table") return;
-        for (std::size_t i = 0; i < widths_.size(); ++i) std::printf("%s%s", i ? "-+-" : "", std::string(widths_[i], '-').c_str());
+        for (std::size_t i = 0; i < widths_.size(); ++i)
+            std::printf("%s%s", i ? "-+-" : "", std::string(widths_[i], '-').c_str());
         std::printf("\n");
     }
 
@@ -98,7 +106,8 @@
     for (const auto& property : q.session) headers.add("X-Trino-Session", property);
 
     net::PollLoop loop;
-    http::Client client(loop, *address, {.limits = {.body = 256 << 20}, .connect_time_out = 5 * kSecondMicros});
+    http::Client client(loop, *address,
+                        {.limits = {.body = 256 << 20}, .connect_time_out = 5 * kSecondMicros});
     Printer printer(q.format);
     const bool terminal = isatty(STDERR_FILENO) != 0;
     int code = 1, tries = 0;
@@ -108,15 +117,19 @@
         using How = statement::ClientResult::How;
         if (terminal) std::fprintf(stderr, "\r\033[K");
         // Turned away before it was taken: the protocol says to come back.
-        const bool come_back = r.how == How::turned_away && (r.status == 429 || r.status == 502 || r.status == 503 || r.status == 504);
+        const bool come_back = r.how == How::turned_away &&
+                               (r.status == 429 || r.status == 502 || r.status == 503 || r.status == 504);
         if (come_back && ++tries < q.tries) {
             loop.after(r.retry_after > 0 ? r.retry_after : 75 * kMillisecond, go);
             return;
         }
         if (r.how != How::answered) {
-            std::fprintf(stderr, "no answer from %s: %s%s\n", q.server.c_str(), r.status ? ("status " + std::to_string(r.status) + ": ").c_str() : "", r.text.c_str());
+            std::fprintf(stderr, "no answer from %s: %s%s\n", q.server.c_str(),
+                         r.status ? ("status " + std::to_string(r.status) + ": ").c_str() : "",
+                         r.text.c_str());
         } else if (r.last.error) {
-            std::fprintf(stderr, "%s (%s): %s\n", r.last.error->name.c_str(), r.last.error->type.c_str(), r.last.error->message.c_str());
+            std::fprintf(stderr, "%s (%s): %s\n", r.last.error->name.c_str(), r.last.error->type.c_str(),
+                         r.last.error->message.c_str());
         } else {
             code = 0;
             if (q.format == "table") std::printf("(%zu rows)\n", printer.count());
@@ -124,12 +137,16 @@
         loop.stop();
     };
     go = [&] {
-        statement = std::make_unique<statement::StatementClient>(loop, client, statement::EngineCallOptions{.answer_time_out = 30 * kSecondMicros});
-        statement->start(headers, q.sql, {[&](const statement::Document& d) {
-                             printer.take(d);
-                             if (terminal) std::fprintf(stderr, "\r\033[K%s %.0f%%", d.stats.state.c_str(), d.stats.progress);
-                         },
-                         over});
+        statement = std::make_unique<statement::StatementClient>(
+            loop, client, statement::EngineCallOptions{.answer_time_out = 30 * kSecondMicros});
+        statement->start(headers, q.sql,
+                         {[&](const statement::Document& d) {
+                              printer.take(d);
+                              if (terminal)
+                                  std::fprintf(stderr, "\r\033[K%s %.0f%%", d.stats.state.c_str(),
+                                               d.stats.progress);
+                          },
+                          over});
     };
     loop.on_signals({SIGINT, SIGTERM}, [&](int) {
         if (statement) statement->cancel();
@@ -158,7 +175,9 @@
     cmd->add_option("--schema", q->schema, "default schema");
     cmd->add_option("--tag", q->tags, "client tag; may be repeated");
     cmd->add_option("--session", q->session, "name=value; may be repeated");
-    cmd->add_option("--format", q->format, "table, csv or json")->check(CLI::IsMember({"table", "csv", "json"}))->capture_default_str();
+    cmd->add_option("--format", q->format, "table, csv or json")
+        ->check(CLI::IsMember({"table", "csv", "json"}))
+        ->capture_default_str();
     cmd->add_option("--patience", q->patience, "seconds to wait for the final answer")->capture_default_str();
     cmd->footer("Example: gatetiller query --server http://127.0.0.1:8080 --format csv \"SELECT 1\"");
     cmd->callback([=, &common] {
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -29,19 +29,23 @@
     if (format == "json")
         return fmt::format(
             R"("message":"statement","id":{},"trace":{},"user":{},"class":{},"tenant":{},"engine":{},"attempts":{},"ended":"{}","held_ms":{:.3f},"running_ms":{:.3f},"fetching_ms":{:.3f},"total_ms":{:.3f},"cpu_ms":{},"peak_bytes":{},"spilled_bytes":{},"error":{})",
-            json_string(f.id), json_string(f.trace), json_string(f.user), json_string(f.cls), json_string(f.tenant), json_string(f.engine), f.attempts,
-            name_of(f.ended), ms(f.held), ms(f.running), ms(f.fetching), ms(f.total), f.cpu_ms, f.peak_memory_bytes,
-            f.spilled_bytes, json_string(f.error));
-    return fmt::format("statement {} {} user={} class={} tenant={} engine={} attempts={} held={:.1f}ms running={:.1f}ms "
-                       "fetching={:.1f}ms total={:.1f}ms cpu={}ms peak={}B spilled={}B{}",
-                       f.id, name_of(f.ended), f.user, f.cls, f.tenant.empty() ? "-" : f.tenant,
-                       f.engine.empty() ? "-" : f.engine, f.attempts, ms(f.held), ms(f.running), ms(f.fetching),
-                       ms(f.total), f.cpu_ms, f.peak_memory_bytes, f.spilled_bytes, f.error.empty() ? "" : " error=" + json_string(f.error));
+            json_string(f.id), json_string(f.trace), json_string(f.user), json_string(f.cls),
+            json_string(f.tenant), json_string(f.engine), f.attempts, name_of(f.ended), ms(f.held),
+            ms(f.running), ms(f.fetching), ms(f.total), f.cpu_ms, f.peak_memory_bytes, f.spilled_bytes,
+            json_string(f.error));
+    return fmt::format(
+        "statement {} {} user={} class={} tenant={} engine={} attempts={} held={:.1f}ms running={:.1f}ms "
+        "fetching={:.1f}ms total={:.1f}ms cpu={}ms peak={}B spilled={}B{}",
+        f.id, name_of(f.ended), f.user, f.cls, f.tenant.empty() ? "-" : f.tenant,
+        f.engine.empty() ? "-" : f.engine, f.attempts, ms(f.held), ms(f.running), ms(f.fetching), ms(f.total),
+        f.cpu_ms, f.peak_memory_bytes, f.spilled_bytes,
+        f.error.empty() ? "" : " error=" + json_string(f.error));
 }
 
 front::Deps deps_of(const config::FrontSettings& s, std::shared_ptr<spdlog::logger> log) {
     const std::string format = s.log.format;
-    return {entropy, s.seed.value_or(random_seed()), [log, format](const std::string& t) { log->info(say(format, t)); },
+    return {entropy, s.seed.value_or(random_seed()),
+            [log, format](const std::string& t) { log->info(say(format, t)); },
             [log, format](const front::Finished& f) { log->info(line_of(format, f)); }};
 }
 
@@ -52,13 +56,18 @@
     const std::string format = settings.log.format;
     const std::size_t files = raise_open_files();
     if (files < settings.server.connections + 1000)
-        log->warn(say(format, "this process may open " + std::to_string(files) + " files: too few for limits.connections of " +
-                                  std::to_string(settings.server.connections) + " and its engines; raise the limit (ulimit -n) or lower the setting"));
+        log->warn(say(format, "this process may open " + std::to_string(files) +
+                                  " files: too few for limits.connections of " +
+                                  std::to_string(settings.server.connections) +
+                                  " and its engines; raise the limit (ulimit -n) or lower the setting"));
     net::PollLoop loop;
     std::ofstream records;
     if (!settings.records.empty()) records.open(settings.records, std::ios::app);
-    net::TapLoop tapped(loop, [&](const net::TapEvent& e) { records << lab::line_of(lab::record_of(settings.name, e)) << std::flush; });
-    front::Front front(records.is_open() ? static_cast<net::Loop&>(tapped) : loop, settings, deps_of(settings, log));
+    net::TapLoop tapped(loop, [&](const net::TapEvent& e) {
+        records << lab::line_of(lab::record_of(settings.name, e)) << std::flush;
+    });
+    front::Front front(records.is_open() ? static_cast<net::Loop&>(tapped) : loop, settings,
+                       deps_of(settings, log));
     loop.on_signals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
         if (signal != SIGHUP) return front.drain([&] { loop.stop(); });
         auto again = config::load_front(file);
@@ -79,7 +88,8 @@
 
 int run_engine(const std::string& file) {
     const auto text = config::whole_file(file);
-    auto settings = text ? engine::load_engine_text(file, *text) : Result<engine::ServiceSettings>(Error{text.error()});
+    auto settings =
+        text ? engine::load_engine_text(file, *text) : Result<engine::ServiceSettings>(Error{text.error()});
     if (!settings) {
         std::fprintf(stderr, "%s\n", settings.error().c_str());
         return 1;
@@ -88,7 +98,8 @@
     std::ofstream journal;
     if (!settings->journal.empty()) journal.open(settings->journal, std::ios::app);
     engine::Service service(loop, *settings, entropy, [&](const engine::Entry& e) {
-        if (journal.is_open()) journal << lab::line_of(settings->name, e) << std::flush;  // a killed engine's must be whole
+        if (journal.is_open())
+            journal << lab::line_of(settings->name, e) << std::flush;  // a killed engine's must be whole
     });
     loop.on_signals({SIGTERM, SIGINT}, [&](int) { loop.stop(); });
     auto bound = service.start();
@@ -152,9 +163,11 @@
         return 1;
     }
     const std::string address = "http://" + bound->front().text();
-    std::printf("%s\nask it: gatetiller query --server %s \"SELECT * FROM anything\"\n", address.c_str(), address.c_str());
+    std::printf("%s\nask it: gatetiller query --server %s \"SELECT * FROM anything\"\n", address.c_str(),
+                address.c_str());
     std::fflush(stdout);
-    if (seconds > 0) loop.after(static_cast<Micros>(seconds * kSecondMicros), [&] { front.drain([&] { loop.stop(); }); });
+    if (seconds > 0)
+        loop.after(static_cast<Micros>(seconds * kSecondMicros), [&] { front.drain([&] { loop.stop(); }); });
     loop.run();
     return 0;
 }
@@ -174,8 +187,9 @@
             std::fprintf(stderr, "%s\n", loaded.error().c_str());
             common.code = 1;
         } else if (*check) {
-            std::printf("%s: fine: %zu classes, %zu engines, %zu routes\n", file->c_str(), loaded->front.module.classes.size(),
-                        loaded->front.engines.size(), loaded->front.routes.size());
+            std::printf("%s: fine: %zu classes, %zu engines, %zu routes\n", file->c_str(),
+                        loaded->front.module.classes.size(), loaded->front.engines.size(),
+                        loaded->front.routes.size());
         } else {
             common.code = run_front(loaded->front, *file, common);
         }
@@ -214,7 +228,8 @@
             common.code = loaded ? 0 : 1;
         });
     };
-    auto* diff = cmd->add_subcommand("diff", "what differs between two, as a JSON patch (RFC 6902) from the first to the second");
+    auto* diff = cmd->add_subcommand(
+        "diff", "what differs between two, as a JSON patch (RFC 6902) from the first to the second");
     auto first = std::make_shared<std::string>(), second = std::make_shared<std::string>();
     diff->add_option("first", *first, "a configuration (Jsonnet)")->required();
     diff->add_option("second", *second, "another")->required();
@@ -224,12 +239,15 @@
         const auto a = config::load_front(*first), b = config::load_front(*second);
         for (const auto* loaded : {&a, &b})
             if (!*loaded) return void(std::fprintf(stderr, "%s\n", loaded->error().c_str()));
-        const auto patch = nlohmann::json::diff(nlohmann::json::parse(a->json), nlohmann::json::parse(b->json));
+        const auto patch =
+            nlohmann::json::diff(nlohmann::json::parse(a->json), nlohmann::json::parse(b->json));
         std::printf("%s\n", patch.dump(2).c_str());
         common.code = 0;
     });
-    with_file("show", "print it as JSON", [](const config::Loaded& l, const std::string&) { std::fputs(l.json.c_str(), stdout); });
-    with_file("check", "check it", [](const config::Loaded&, const std::string& f) { std::printf("%s: fine\n", f.c_str()); });
+    with_file("show", "print it as JSON",
+              [](const config::Loaded& l, const std::string&) { std::fputs(l.json.c_str(), stdout); });
+    with_file("check", "check it",
+              [](const config::Loaded&, const std::string& f) { std::printf("%s: fine\n", f.c_str()); });
 }
 
 }  // namespace gatetiller::cli
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -8,8 +8,8 @@
 namespace gatetiller::config {
 namespace {
 
-// Walks through Jsonnet text and tells of every `key:` with the keys around it. Comments and strings are passed over;
-// elements of arrays count as keys "0", "1" ...
+// Walks through Jsonnet text and tells of every `key:` with the keys around it. Comments and strings are
+// passed over; elements of arrays count as keys "0", "1" ...
 class Walker {
 public:
     explicit Walker(const std::string& source) : s_(source) {}
@@ -28,7 +28,8 @@
             const char c = s_[at_];
             if (c == '\n') ++line_;
             if (skip_comment()) continue;
-            if (element_begins && !std::isspace(static_cast<unsigned char>(c))) element_begins = false, tell(levels, on_key);
+            if (element_begins && !std::isspace(static_cast<unsigned char>(c)))
+                element_begins = false, tell(levels, on_key);
             if (c == '"' || c == '\'') {
                 word = string(c);
                 continue;
@@ -39,7 +40,9 @@
             }
             if (std::isalpha(static_cast<unsigned char>(c)) || c == '_') {
                 const std::size_t from = at_;
-                while (at_ < s_.size() && (std::isalnum(static_cast<unsigned char>(s_[at_])) || s_[at_] == '_')) ++at_;
+                while (at_ < s_.size() &&
+                       (std::isalnum(static_cast<unsigned char>(s_[at_])) || s_[at_] == '_'))
+                    ++at_;
                 word = s_.substr(from, at_ - from);
                 continue;
             }
@@ -75,7 +78,8 @@
         }
         if (s_.compare(at_, 2, "/*") != 0) return false;
         const std::size_t end = std::min(s_.find("*/", at_ + 2), s_.size());
-        line_ += static_cast<int>(std::count(s_.begin() + static_cast<long>(at_), s_.begin() + static_cast<long>(end), '\n'));
+        line_ += static_cast<int>(
+            std::count(s_.begin() + static_cast<long>(at_), s_.begin() + static_cast<long>(end), '\n'));
         at_ = std::min(end + 2, s_.size());
         return true;
     }
@@ -91,7 +95,8 @@
     }
     void skip_block() {
         const std::size_t end = std::min(s_.find("|||", at_ + 3), s_.size());
-        line_ += static_cast<int>(std::count(s_.begin() + static_cast<long>(at_), s_.begin() + static_cast<long>(end), '\n'));
+        line_ += static_cast<int>(
+            std::count(s_.begin() + static_cast<long>(at_), s_.begin() + static_cast<long>(end), '\n'));
         at_ = std::min(end + 3, s_.size());
     }
 
@@ -112,7 +117,8 @@
     int line = 1;
     std::size_t best = 0;
     Walker(source).walk([&](const std::vector<std::string>& keys, int at) {
-        // The path's parts in order, among the keys around this place: functions and local names may stand between.
+        // The path's parts in order, among the keys around this place: functions and local names may stand
+        // between.
         std::size_t n = 0;
         for (const auto& key : keys)
             if (n < path.size() && key == path[n]) ++n;
@@ -184,7 +190,8 @@
 void Reader::texts(const std::string& key, std::vector<std::string>& to) {
     const auto* v = find(key);
     if (!v) return;
-    const bool right = v->is_array() && std::all_of(v->begin(), v->end(), [](const auto& x) { return x.is_string(); });
+    const bool right =
+        v->is_array() && std::all_of(v->begin(), v->end(), [](const auto& x) { return x.is_string(); });
     if (!right) return wrong(key, "must be an array of texts, such as ['a', 'b']");
     to = v->get<std::vector<std::string>>();
 }
@@ -192,7 +199,9 @@
 void Reader::counts(const std::string& key, std::vector<std::size_t>& to) {
     const auto* v = find(key);
     if (!v) return;
-    const bool right = v->is_array() && std::all_of(v->begin(), v->end(), [](const auto& x) { return x.is_number_integer() && x.template get<long long>() >= 0; });
+    const bool right = v->is_array() && std::all_of(v->begin(), v->end(), [](const auto& x) {
+                           return x.is_number_integer() && x.template get<long long>() >= 0;
+                       });
     if (!right) return wrong(key, "must be an array of whole numbers, such as [0, 2]");
     to = v->get<std::vector<std::size_t>>();
 }
@@ -285,7 +294,8 @@
         const std::string near = nearest(item.key(), known);
         std::string all;
         for (const auto& k : known) all += (all.empty() ? "" : ", ") + k;
-        wrong(item.key(), "unknown key; " + (near.empty() ? "known are: " + all : "did you mean '" + near + "'?"));
+        wrong(item.key(),
+              "unknown key; " + (near.empty() ? "known are: " + all : "did you mean '" + near + "'?"));
     }
 }
 
--- a/src/config/reader.hpp
+++ b/src/config/reader.hpp
@@ -1,5 +1,6 @@
-// Reads values out of evaluated configuration, keeping track of where each came from: unknown keys, wrong kinds of
-// values, missing ones and words that aren't allowed become messages with a file, a line and what would be right.
+// Reads values out of evaluated configuration, keeping track of where each came from: unknown keys, wrong
+// kinds of values, missing ones and words that aren't allowed become messages with a file, a line and what
+// would be right.
 #pragma once
 
 #include <functional>
@@ -14,8 +15,9 @@
 
 namespace gatetiller::config {
 
-// The line of the template on which the value at this path stands, or that of the deepest part of it that is found;
-// 1 where nothing is. Values that a function or a library made are found at the place that names their parents.
+// The line of the template on which the value at this path stands, or that of the deepest part of it that is
+// found; 1 where nothing is. Values that a function or a library made are found at the place that names their
+// parents.
 int line_of(const std::string& source, const std::vector<std::string>& path);
 // The one of `known` that is nearest to a mistyped word; empty if none is near.
 std::string nearest(const std::string& word, const std::vector<std::string>& known);
@@ -32,8 +34,8 @@
     std::vector<std::string> texts_;
 };
 
-// One object of the configuration. Each getter marks its key as known and changes its target only where the key is
-// present and right. close() complains of the keys that nobody asked for.
+// One object of the configuration. Each getter marks its key as known and changes its target only where the
+// key is present and right. close() complains of the keys that nobody asked for.
 class Reader {
 public:
     Reader(const nlohmann::json& value, std::vector<std::string> path, Mistakes& mistakes);
@@ -43,11 +45,12 @@
     void texts(const std::string& key, std::vector<std::string>& to);
     void counts(const std::string& key, std::vector<std::size_t>& to);  // [0, 2]
     void flag(const std::string& key, bool& to);
-    void span(const std::string& key, Micros& to);           // '20ms'
-    void bytes(const std::string& key, std::size_t& to);     // '16MiB'
-    void megabytes(const std::string& key, double& to);      // the same, in MB of 2^20
+    void span(const std::string& key, Micros& to);        // '20ms'
+    void bytes(const std::string& key, std::size_t& to);  // '16MiB'
+    void megabytes(const std::string& key, double& to);   // the same, in MB of 2^20
     void number(const std::string& key, double& to, double least, double most);
-    void numbers(const std::string& key, std::map<std::string, double>& to, double least, double most);  // { name: number }
+    void numbers(const std::string& key, std::map<std::string, double>& to, double least,
+                 double most);  // { name: number }
     template <typename T>
     void count(const std::string& key, T& to, double least, double most) {
         double value = static_cast<double>(to);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -49,9 +49,11 @@
         r.span("aim", c.aim);
         r.span("deadline", c.deadline);
         r.number("aim_stretch", c.aim_stretch, 0, 100);
-        r.word<Effect>("effect", c.effect,
-                       {{"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}});
-        r.word<Scope>("key_scope", c.key_scope, {{"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}});
+        r.word<Effect>(
+            "effect", c.effect,
+            {{"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}});
+        r.word<Scope>("key_scope", c.key_scope,
+                      {{"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}});
         r.span("window", c.window);
         r.number("late_share", c.late_share, 0, 1);
         r.number("value", c.value, 0, 1e9);
@@ -80,8 +82,9 @@
     read_when_short(r, m.when_short);
     r.flag("cost_in_answers", m.cost_in_answers);
     r.span("note_period", m.note_period);
-    r.word<ReportSource>("reports", m.reports,
-                         {{"none", ReportSource::none}, {"answers", ReportSource::answers}, {"probe", ReportSource::probe}});
+    r.word<ReportSource>(
+        "reports", m.reports,
+        {{"none", ReportSource::none}, {"answers", ReportSource::answers}, {"probe", ReportSource::probe}});
     r.flag("cancel", m.may_cancel);
     r.number("largest_share", m.largest_share, 0.01, 1);
 }
@@ -128,11 +131,14 @@
     r.text("kind", e.kind);
     r.count("cell", e.cell, 0, 1e9);
     r.number("share", e.share, 0, 1e6);
-    r.word<EngineState>("state", e.state, {{"on", EngineState::on}, {"fading", EngineState::fading}, {"off", EngineState::off}});
+    r.word<EngineState>(
+        "state", e.state,
+        {{"on", EngineState::on}, {"fading", EngineState::fading}, {"off", EngineState::off}});
     to.push_back(std::move(e));
 }
 
-void read_address(Reader& r, const std::string& key, const std::string& text, std::optional<net::Address>& to) {
+void read_address(Reader& r, const std::string& key, const std::string& text,
+                  std::optional<net::Address>& to) {
     auto parsed = net::Address::parse(text);
     if (parsed) to = *parsed;
     else r.wrong(key, parsed.error());
@@ -178,7 +184,8 @@
     };
     known("class", route.cls, classes);
     known("tenant", route.tenant, tenants);
-    const auto source = [&](const char* key, const std::string& from, std::initializer_list<const char*> allowed) {
+    const auto source = [&](const char* key, const std::string& from,
+                            std::initializer_list<const char*> allowed) {
         if (from.empty() || (from.starts_with("tag:") && from.size() > 4)) return;
         std::string all;
         for (const char* a : allowed) {
@@ -231,7 +238,8 @@
         read_address(top, "listen", text, a);
         if (a) f.listen.push_back(*a);
     }
-    if (top.has("listen") && f.listen.empty()) top.wrong("listen", "at least one address is needed, such as ['127.0.0.1:8080']");
+    if (top.has("listen") && f.listen.empty())
+        top.wrong("listen", "at least one address is needed, such as ['127.0.0.1:8080']");
     top.text("zone", m.zone);
     top.count("me", m.me, 0, 1e6);
     top.count("fronts", m.siblings, 1, 1e6);
@@ -267,7 +275,8 @@
     top.each("engines", [&](const std::string& name, Reader& r) { read_engine(name, r, f.engines); });
     for (const auto& e : f.engines)
         if (std::none_of(m.kinds.begin(), m.kinds.end(), [&](const auto& k) { return k.name == e.kind; }))
-            top.wrong("engines", "engine '" + e.name + "' is of kind '" + e.kind + "', which 'kinds' does not define");
+            top.wrong("engines",
+                      "engine '" + e.name + "' is of kind '" + e.kind + "', which 'kinds' does not define");
     top.object("roster", [&](Reader& r) { read_roster(r, f.roster); });
     m.ask_discovery = f.roster.http.has_value();
     if (m.ask_discovery && m.ask_within <= 0) m.ask_within = 10 * f.roster.every;
@@ -282,7 +291,9 @@
     top.text("environment", f.statements.environment);
     top.text("records", f.records);
     top.object("log", [&](Reader& r) {
-        r.word<std::string>("level", f.log.level, {{"trace", "trace"}, {"debug", "debug"}, {"info", "info"}, {"warn", "warn"}, {"error", "error"}});
+        r.word<std::string>(
+            "level", f.log.level,
+            {{"trace", "trace"}, {"debug", "debug"}, {"info", "info"}, {"warn", "warn"}, {"error", "error"}});
         r.word<std::string>("format", f.log.format, {{"text", "text"}, {"json", "json"}});
     });
     f.statements.node_id = f.name;
@@ -291,7 +302,8 @@
 }  // namespace
 
 void read_when_short(Reader& r, WhenShort& to) {
-    r.word<WhenShort>("when_short", to, {{"queue", WhenShort::queue}, {"trim", WhenShort::trim}, {"swap", WhenShort::swap}});
+    r.word<WhenShort>("when_short", to,
+                      {{"queue", WhenShort::queue}, {"trim", WhenShort::trim}, {"swap", WhenShort::swap}});
 }
 
 Result<std::string> whole_file(const std::string& file) {
@@ -334,10 +346,10 @@
         top.close();
         if (mistakes.none()) {
             try {
-                Brain probe(0, 1, loaded.front.module);  // the module's own checks of settings that contradict themselves
-            } catch (const std::invalid_argument& e) {
-                mistakes.add({}, e.what());
-            }
+                Brain probe(
+                    0, 1,
+                    loaded.front.module);  // the module's own checks of settings that contradict themselves
+            } catch (const std::invalid_argument& e) { mistakes.add({}, e.what()); }
         }
     }
     if (!mistakes.none()) return Error{mistakes.text()};
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -1,5 +1,6 @@
-// config: Jsonnet templates to settings. `import 'gatetiller.libsonnet'` finds the library built into the program.
-// Every mistake is told with file, line and what would be right. This file: what a front's configuration comes to.
+// config: Jsonnet templates to settings. `import 'gatetiller.libsonnet'` finds the library built into the
+// program. Every mistake is told with file, line and what would be right. This file: what a front's
+// configuration comes to.
 #pragma once
 
 #include <map>
@@ -28,10 +29,10 @@
 };
 
 struct RosterSettings {
-    std::string file{};               // watched; empty: none
+    std::string file{};                  // watched; empty: none
     std::optional<net::Address> http{};  // a list polled there; absent: none
     std::string path{};
-    std::string keep{};               // file for the last list, for the next start; empty: not kept
+    std::string keep{};  // file for the last list, for the next start; empty: not kept
     Micros every = kSecondMicros;
     Micros watch_every = kSecondMicros;  // how often each engine is asked for its state; 0: never
 };
@@ -54,21 +55,23 @@
     statement::ServerSideOptions statements;
     http::ClientOptions client;
     statement::EngineCallOptions calls;
-    Micros answer_reserve = 50 * kMillisecond;  // of a client's time, for the final answer's way
+    Micros answer_reserve = 50 * kMillisecond;   // of a client's time, for the final answer's way
     Micros drain_patience = 30 * kSecondMicros;  // after SIGTERM
     std::string records;  // file to which every message on the sockets is recorded; empty: none
     LogSettings log;
 };
 
 class Reader;
-void read_when_short(Reader& reader, WhenShort& to);  // the key when_short, of fronts and of stand-in engines alike
+void read_when_short(Reader& reader,
+                     WhenShort& to);  // the key when_short, of fronts and of stand-in engines alike
 
 struct Loaded {
     FrontSettings front;
     std::string json;  // what the templates came to
 };
 
-// Reads and checks a front's configuration. An Error holds one line for each mistake: "file:line: path: what".
+// Reads and checks a front's configuration. An Error holds one line for each mistake: "file:line: path:
+// what".
 Result<Loaded> load_front(const std::string& file);
 // The same of a template that is at hand as text; `name` stands for the file in messages.
 Result<Loaded> load_front_text(const std::string& name, const std::string& text);
--- a/src/decide/attempt_end.cpp
+++ b/src/decide/attempt_end.cpp
@@ -10,7 +10,8 @@
         case How::lost: return {Outcome::econnreset, false};
         case How::late: return {Outcome::etimedout, false};
         case How::turned_away:
-            // A statement that is malformed in the engine's eyes (400, 401, 403, 404, 405, 413 ...) was never run.
+            // A statement that is malformed in the engine's eyes (400, 401, 403, 404, 405, 413 ...) was never
+            // run.
             if (end.status == 429 || end.status == 503) return {Outcome::busy, false};
             return {Outcome::err, end.status >= 400 && end.status < 500};
         case How::answered: break;
--- a/src/decide/attempt_end.hpp
+++ b/src/decide/attempt_end.hpp
@@ -1,4 +1,5 @@
-// How an attempt's end counts: what the module is told of it, and whether the engine's answer is the client's.
+// How an attempt's end counts: what the module is told of it, and whether the engine's answer is the
+// client's.
 #pragma once
 
 #include <string>
@@ -18,16 +19,19 @@
 
 struct Verdict {
     Outcome outcome = Outcome::done;
-    // The engine's document is the client's answer: rows, or an error that is the statement's own fault and would
-    // come again on every engine.
+    // The engine's document is the client's answer: rows, or an error that is the statement's own fault and
+    // would come again on every engine.
     bool for_client = false;
 };
 
-// Which outcomes prove that an attempt never ran decides whether a statement may have its effect twice, so in doubt
-// it may have run:
-// - A POST answered 429 or 503 in place of a document was turned away before the engine took it, as the protocol
-//   has it: clients send the same statement again on these. Any other status may come from something in between.
-// - An error QUERY_QUEUE_FULL of a statement of which no document told of running: refused in the engine's queue.
+// Which outcomes prove that an attempt never ran decides whether a statement may have its effect twice, so in
+// doubt it may have run:
+// - A POST answered 429 or 503 in place of a document was turned away before the engine took it, as the
+// protocol
+//   has it: clients send the same statement again on these. Any other status may come from something in
+//   between.
+// - An error QUERY_QUEUE_FULL of a statement of which no document told of running: refused in the engine's
+// queue.
 // - SERVER_SHUTTING_DOWN proves nothing: a drain that ran out of patience ends statements with it.
 Verdict judge(const AttemptEnd& end);
 
--- a/src/decide/engine_watch.cpp
+++ b/src/decide/engine_watch.cpp
@@ -29,8 +29,8 @@
     // One that is still starting would turn everything away: as good as draining until it is ready.
     if (next.state == EngineState::on && (shutting_down_ || starting_)) next.state = EngineState::fading;
     const bool changed = next.id != entry_.id || next.state != entry_.state || next.zone != entry_.zone ||
-                         next.kind != entry_.kind || next.cell != entry_.cell || next.came_up != entry_.came_up ||
-                         next.share != entry_.share;
+                         next.kind != entry_.kind || next.cell != entry_.cell ||
+                         next.came_up != entry_.came_up || next.share != entry_.share;
     entry_ = std::move(next);
     return changed;
 }
--- a/src/decide/holding.hpp
+++ b/src/decide/holding.hpp
@@ -1,5 +1,6 @@
-// How much a front holds for its clients: statements in all, for each user, and rows waiting to be fetched. Bounds are
-// put here so that a crowd or one slow reader costs a bounded part of the front, and never its memory.
+// How much a front holds for its clients: statements in all, for each user, and rows waiting to be fetched.
+// Bounds are put here so that a crowd or one slow reader costs a bounded part of the front, and never its
+// memory.
 #pragma once
 
 #include <cstddef>
@@ -11,12 +12,13 @@
 namespace gatetiller::decide {
 
 struct HoldingLimits {
-    std::size_t statements = 50'000;         // taken and not finished
+    std::size_t statements = 50'000;  // taken and not finished
     std::size_t statements_per_user = 20'000;
-    std::size_t statement_bytes = 1 << 20;   // one statement's text
-    std::size_t rows_ahead = 2 << 20;        // bytes that one statement may have waiting before its engine is asked on
-    std::size_t rows_in_all = 512 << 20;     // bytes waiting for all statements
-    Micros come_back = kSecondMicros;        // hint where a statement isn't taken
+    std::size_t statement_bytes = 1 << 20;  // one statement's text
+    std::size_t rows_ahead =
+        2 << 20;  // bytes that one statement may have waiting before its engine is asked on
+    std::size_t rows_in_all = 512 << 20;  // bytes waiting for all statements
+    Micros come_back = kSecondMicros;     // hint where a statement isn't taken
 };
 
 enum class Admission { taken, front_full, user_full, too_long };
@@ -27,9 +29,9 @@
 
     Admission admit(const std::string& user, std::size_t text_bytes);  // counts it where taken
     void finished(const std::string& user);
-    // Whether a statement with `waiting` bytes of rows, of `in_all` at this front, may ask its engine for more. Past
-    // the bound for all, only those with nothing waiting go on, so that every reader still gets its rows, one page at
-    // a time.
+    // Whether a statement with `waiting` bytes of rows, of `in_all` at this front, may ask its engine for
+    // more. Past the bound for all, only those with nothing waiting go on, so that every reader still gets
+    // its rows, one page at a time.
     bool may_ask_on(std::size_t waiting, std::size_t in_all) const {
         return waiting < limits_.rows_ahead && (waiting == 0 || in_all < limits_.rows_in_all);
     }
--- a/src/decide/life.cpp
+++ b/src/decide/life.cpp
@@ -8,7 +8,8 @@
         // An answer that is whole at the front is given page by page: its first rows change nothing any more.
         case Happening::rows_given: return phase_ == Phase::trying;
         case Happening::attempt_over: return out_;
-        case Happening::answer: return phase_ == Phase::held || phase_ == Phase::trying || phase_ == Phase::flowing;
+        case Happening::answer:
+            return phase_ == Phase::held || phase_ == Phase::trying || phase_ == Phase::flowing;
         case Happening::final_given: return phase_ == Phase::answered;
         case Happening::left: return phase_ != Phase::over;
     }
--- a/src/decide/life.hpp
+++ b/src/decide/life.hpp
@@ -1,5 +1,6 @@
-// The life of one statement at a front, from its taking to the moment nothing of it is left: one small state machine, so
-// that what may happen when stands in one place. The module decides what is done; this keeps the doing straight.
+// The life of one statement at a front, from its taking to the moment nothing of it is left: one small state
+// machine, so that what may happen when stands in one place. The module decides what is done; this keeps the
+// doing straight.
 #pragma once
 
 #include <cstdint>
@@ -30,7 +31,9 @@
     bool may(Happening h) const;
     bool take(Happening h);
 
-    bool out() const { return out_; }  // an attempt is out; may be so after the end, where it can't be called off
+    bool out() const {
+        return out_;
+    }  // an attempt is out; may be so after the end, where it can't be called off
     bool finished() const { return phase_ == Phase::answered || phase_ == Phase::over; }
     bool freeable() const { return phase_ == Phase::over && !out_; }
 
--- a/src/decide/notes.hpp
+++ b/src/decide/notes.hpp
@@ -7,7 +7,7 @@
 
 namespace gatetiller::decide {
 
-struct Seen {  // of one document's stats
+struct Seen {             // of one document's stats
     double progress = 0;  // per cent
     bool queued = false, scheduled = false;
     std::int64_t queued_splits = 0, running_splits = 0, spilled_bytes = 0;
@@ -18,13 +18,15 @@
     double value;
 };
 
-// One attempt's notes. The module judges an attempt by its progress at a known pace: told more often, a short query that
-// has only begun looks as if it would never end and is called off. So progress is told once a period, from the attempt's
-// start on. What is news goes out at once, each a first time and then once a period: that it spills (MB written, once
-// more than before), that it waits for memory (the engine queues it) or for a load (scheduled, none of its splits runs).
+// One attempt's notes. The module judges an attempt by its progress at a known pace: told more often, a short
+// query that has only begun looks as if it would never end and is called off. So progress is told once a
+// period, from the attempt's start on. What is news goes out at once, each a first time and then once a
+// period: that it spills (MB written, once more than before), that it waits for memory (the engine queues it)
+// or for a load (scheduled, none of its splits runs).
 class Notes {
 public:
-    Notes(Micros started, Micros period) : period_(period), progress_at_(started), waits_at_(started - period) {}
+    Notes(Micros started, Micros period)
+        : period_(period), progress_at_(started), waits_at_(started - period) {}
     std::vector<Told> take(Micros now, const Seen& seen);
 
 private:
--- a/src/decide/routing.cpp
+++ b/src/decide/routing.cpp
@@ -7,12 +7,16 @@
 namespace gatetiller::decide {
 namespace {
 
-bool fits(const std::string& pattern, const std::string& text) { return pattern.empty() || glob_matches(pattern, text); }
+bool fits(const std::string& pattern, const std::string& text) {
+    return pattern.empty() || glob_matches(pattern, text);
+}
 
 bool fits(const Route& r, const Traits& t) {
-    return fits(r.user, t.user) && fits(r.source, t.source) && fits(r.catalog, t.catalog) && fits(r.schema, t.schema) &&
+    return fits(r.user, t.user) && fits(r.source, t.source) && fits(r.catalog, t.catalog) &&
+           fits(r.schema, t.schema) &&
            std::all_of(r.tags.begin(), r.tags.end(), [&](const std::string& wanted) {
-               return std::any_of(t.tags.begin(), t.tags.end(), [&](const auto& tag) { return glob_matches(wanted, tag); });
+               return std::any_of(t.tags.begin(), t.tags.end(),
+                                  [&](const auto& tag) { return glob_matches(wanted, tag); });
            });
 }
 
@@ -42,9 +46,11 @@
     : routes_(std::move(routes)), tenants_(std::move(tenants)) {}
 
 std::optional<Routed> Router::route(const Traits& traits) const {
-    const auto found = std::find_if(routes_.begin(), routes_.end(), [&](const Route& r) { return fits(r, traits); });
+    const auto found =
+        std::find_if(routes_.begin(), routes_.end(), [&](const Route& r) { return fits(r, traits); });
     if (found == routes_.end()) return std::nullopt;
-    Routed to{found->cls, found->tenant, value_of(found->key_from, traits), number_of(value_of(found->group_from, traits))};
+    Routed to{found->cls, found->tenant, value_of(found->key_from, traits),
+              number_of(value_of(found->group_from, traits))};
     if (to.tenant.empty()) to.tenant = value_of(found->tenant_from, traits);
     if (!tenants_.empty() && std::find(tenants_.begin(), tenants_.end(), to.tenant) == tenants_.end())
         to.tenant = tenants_.back();
--- a/src/decide/routing.hpp
+++ b/src/decide/routing.hpp
@@ -35,8 +35,8 @@
 class Router {
 public:
     Router(std::vector<Route> routes, std::vector<std::string> tenants);
-    // The first route that matches decides; nothing where none does. A tenant that the settings don't know counts as
-    // the last of them, which is the usual place for "everyone else".
+    // The first route that matches decides; nothing where none does. A tenant that the settings don't know
+    // counts as the last of them, which is the usual place for "everyone else".
     std::optional<Routed> route(const Traits& traits) const;
 
 private:
--- a/src/engine/service.cpp
+++ b/src/engine/service.cpp
@@ -20,9 +20,7 @@
 
 }  // namespace
 
-std::string row_of(std::string_view sql, std::size_t index) {
-    return Random(hash_of(sql, index)).hex(16);
-}
+std::string row_of(std::string_view sql, std::size_t index) { return Random(hash_of(sql, index)).hex(16); }
 
 Result<Hints> read_hints(std::string_view sql) {
     Hints h;
@@ -32,7 +30,8 @@
     if (end == std::string_view::npos) return Error{"the comment with hints does not end"};
     for (const auto part : split(sql.substr(from + 6, end - from - 6), ' ')) {
         const std::size_t equals = part.find('=');
-        const std::string_view key = part.substr(0, equals), value = equals == std::string_view::npos ? "" : part.substr(equals + 1);
+        const std::string_view key = part.substr(0, equals),
+                               value = equals == std::string_view::npos ? "" : part.substr(equals + 1);
         const auto number = [&](double& to) {
             const auto n = to_number<double>(value);
             if (n && *n >= 0 && *n < 1e12) to = *n;
@@ -45,7 +44,8 @@
         else if (key == "io") right = number(h.io) && h.io <= 1;
         else if (key == "mem_mb") right = number(h.mem_mb);
         else if (key == "rows") right = number(count), h.rows = static_cast<std::size_t>(count);
-        else if (key == "row_bytes") right = number(count), h.row_bytes = static_cast<std::size_t>(std::min(count, 1e6));
+        else if (key == "row_bytes")
+            right = number(count), h.row_bytes = static_cast<std::size_t>(std::min(count, 1e6));
         else if (key == "group") h.group = value;
         else if (key == "fail") h.fail = value;
         else if (key == "load") h.load = value == "1";
@@ -70,7 +70,10 @@
 
 Service::Service(net::Loop& loop, ServiceSettings settings, std::function<std::string()> entropy,
                  std::function<void(const Entry&)> journal)
-    : loop_(loop), settings_(std::move(settings)), entropy_(std::move(entropy)), journal_(std::move(journal)),
+    : loop_(loop),
+      settings_(std::move(settings)),
+      entropy_(std::move(entropy)),
+      journal_(std::move(journal)),
       random_(settings_.seed) {}
 
 Service::~Service() {
@@ -80,7 +83,9 @@
 
 Result<net::Address> Service::start() {
     bound_ = settings_.listen;
-    server_ = std::make_unique<http::Server>(loop_, http::ServerOptions{}, [this](http::Request& r, http::Server::Reply reply) { handle(r, std::move(reply)); });
+    server_ = std::make_unique<http::Server>(
+        loop_, http::ServerOptions{},
+        [this](http::Request& r, http::Server::Reply reply) { handle(r, std::move(reply)); });
     up();
     auto bound = server_->listen(bound_);
     if (bound) bound_ = *bound;
@@ -166,7 +171,8 @@
     if (post && random_.chance(faults_.reset_before)) return reply.break_connection();
     if (faults_.lost_resets)
         for (const auto& [id, r] : running_)
-            if (r.lost && r.ended && request.target.find(id) != std::string::npos) return reply.break_connection();
+            if (r.lost && r.ended && request.target.find(id) != std::string::npos)
+                return reply.break_connection();
     asking_ = front_of(request);
     if (!statements_->handle(request, reply)) reply.send(statement::text_response(404, "no such path"));
 }
@@ -174,27 +180,30 @@
 // PUT /v1/fault with {"slow": 4, "hang": true, ...} sets all faults; what isn't named is well again.
 void Service::fault_path(http::Request& request, http::Server::Reply& reply) {
     const auto json = nlohmann::json::parse(request.body, nullptr, false);
-    if (request.method != "PUT" || !json.is_object()) return reply.send(statement::text_response(400, "PUT an object of faults"));
+    if (request.method != "PUT" || !json.is_object())
+        return reply.send(statement::text_response(400, "PUT an object of faults"));
     Faults f;
     for (const auto& [key, value] : json.items()) {
         const auto flag = [&](bool& to) { return value.is_boolean() && (to = value.get<bool>(), true); };
         const auto number = [&](double& to) { return value.is_number() && (to = value.get<double>(), true); };
-        const bool right = key == "slow"           ? number(f.slow) && f.slow >= 0.01
-                           : key == "hang"         ? flag(f.hang)
-                           : key == "silent"       ? flag(f.silent)
-                           : key == "refuse"       ? flag(f.refuse)
-                           : key == "crashed"      ? flag(f.crashed)
-                           : key == "fast_errors"  ? number(f.fast_errors)
-                           : key == "answer_lost"  ? number(f.answer_lost)
-                           : key == "reset_before" ? number(f.reset_before)
-                           : key == "busy"         ? number(f.busy)
-                           : key == "cut"          ? number(f.cut)
-                           : key == "trickle"      ? number(f.trickle)
-                           : key == "lost_resets"  ? flag(f.lost_resets)
+        const bool right = key == "slow"            ? number(f.slow) && f.slow >= 0.01
+                           : key == "hang"          ? flag(f.hang)
+                           : key == "silent"        ? flag(f.silent)
+                           : key == "refuse"        ? flag(f.refuse)
+                           : key == "crashed"       ? flag(f.crashed)
+                           : key == "fast_errors"   ? number(f.fast_errors)
+                           : key == "answer_lost"   ? number(f.answer_lost)
+                           : key == "reset_before"  ? number(f.reset_before)
+                           : key == "busy"          ? number(f.busy)
+                           : key == "cut"           ? number(f.cut)
+                           : key == "trickle"       ? number(f.trickle)
+                           : key == "lost_resets"   ? flag(f.lost_resets)
                            : key == "report_late_s" ? number(f.report_late_s)
-                           : key == "flush"        ? flag(f.flush)
-                                                   : false;
-        if (!right) return reply.send(statement::text_response(400, "fault '" + key + "' is not known or has a wrong value"));
+                           : key == "flush"         ? flag(f.flush)
+                                                    : false;
+        if (!right)
+            return reply.send(
+                statement::text_response(400, "fault '" + key + "' is not known or has a wrong value"));
     }
     reply.send({204, {}, {}});
     // After the answer has gone out: a crash closes this connection too.
@@ -216,7 +225,17 @@
     auto hints = read_hints(r.submission.sql);
     if (!hints) return refuse("refused", 400, hints.error().c_str());
     r.hints = *hints;
-    Job job{c.trace_token, "", r.hints.group, r.hints.work_ms * 1000, r.hints.threads, r.hints.io, r.hints.mem_mb, 0, 1, r.hints.load, r.hints.yields};
+    Job job{c.trace_token,
+            "",
+            r.hints.group,
+            r.hints.work_ms * 1000,
+            r.hints.threads,
+            r.hints.io,
+            r.hints.mem_mb,
+            0,
+            1,
+            r.hints.load,
+            r.hints.yields};
     for (const auto& tag : c.tags)
         if (tag.starts_with("key=")) job.key = c.user + " " + tag;
     if (const auto grant = c.session.find("query_max_memory"); grant != c.session.end())
@@ -245,7 +264,8 @@
             r.ended = true;
             running_.emplace(id, std::move(r));
             loop_.after(0, [this, id] {
-                if (const auto found = running_.find(id); found != running_.end()) give_page(id, found->second);
+                if (const auto found = running_.find(id); found != running_.end())
+                    give_page(id, found->second);
             });
             return std::nullopt;
     }
@@ -297,7 +317,8 @@
     std::string rows = "[";
     const std::string pad(r.hints.row_bytes > 16 ? r.hints.row_bytes - 16 : 0, 'x');
     while (r.next_row < r.hints.rows && rows.size() < settings_.page_bytes) {
-        rows += (rows.size() > 1 ? ",[" : "[") + std::to_string(r.next_row) + ",\"" + row_of(r.submission.sql, r.next_row) + pad + "\"]";
+        rows += (rows.size() > 1 ? ",[" : "[") + std::to_string(r.next_row) + ",\"" +
+                row_of(r.submission.sql, r.next_row) + pad + "\"]";
         ++r.next_row;
     }
     if (rows.size() > 1) d.data = rows + "]";
@@ -357,10 +378,12 @@
     Running& r = found->second;
     if (!r.ended) {
         machine_->advance(loop_.now());
-        // Jobs that end by this are told of by the timer, which is due then: here a caller holds on to this one.
+        // Jobs that end by this are told of by the timer, which is due then: here a caller holds on to this
+        // one.
         if (const auto view = machine_->view(r.job)) r.last = *view;
     }
-    const bool waits = !r.ended && r.last.phase == Phase::for_memory, held = !r.ended && r.last.phase == Phase::for_load;
+    const bool waits = !r.ended && r.last.phase == Phase::for_memory,
+               held = !r.ended && r.last.phase == Phase::for_load;
     s.state = waits ? "QUEUED" : "RUNNING";
     s.queued = waits, s.scheduled = !waits;
     s.progress = r.ended ? 100 : 100 * r.last.progress;
@@ -375,7 +398,9 @@
     return s;
 }
 
-std::string Service::status_members() { return ",\"processors\":" + std::to_string(static_cast<int>(settings_.machine.cores)); }
+std::string Service::status_members() {
+    return ",\"processors\":" + std::to_string(static_cast<int>(settings_.machine.cores));
+}
 
 void Service::decorate(http::Response& response) {
     if (!settings_.reports || !machine_) return;
--- a/src/engine/service.hpp
+++ b/src/engine/service.hpp
@@ -1,5 +1,5 @@
-// The stand-in engine as a server of the statement API: the machine of model.hpp behind sockets, with faults on command
-// and a journal of what it really did, which the rule checker reads.
+// The stand-in engine as a server of the statement API: the machine of model.hpp behind sockets, with faults
+// on command and a journal of what it really did, which the rule checker reads.
 #pragma once
 
 #include <deque>
@@ -14,48 +14,50 @@
 
 namespace gatetiller::engine {
 
-struct Faults {  // what is wrong with it at present
-    double slow = 1;          // so many times slower
-    bool hang = false;        // takes work and runs it, answers nothing
-    bool silent = false;      // neither takes nor answers
-    bool refuse = false;      // takes no connections
-    bool crashed = false;     // all that it held is gone; up again once cleared, cold
-    double fast_errors = 0;   // share of statements answered at once with an internal error
-    double answer_lost = 0;   // share of statements of which the work runs and the answer never comes
-    double reset_before = 0;  // share of POSTs whose connection breaks unread
-    double busy = 0;          // share of POSTs answered 503
-    double cut = 0;           // share of answers that break off in the middle
-    double trickle = 0;       // answers leave so many bytes every 10 ms; 0: whole
-    bool lost_resets = false; // a poll for a lost answer breaks instead of waiting
-    double report_late_s = 0; // load reports are this old
-    bool flush = false;       // at the moment it is set: nothing is warm any more
+struct Faults {                // what is wrong with it at present
+    double slow = 1;           // so many times slower
+    bool hang = false;         // takes work and runs it, answers nothing
+    bool silent = false;       // neither takes nor answers
+    bool refuse = false;       // takes no connections
+    bool crashed = false;      // all that it held is gone; up again once cleared, cold
+    double fast_errors = 0;    // share of statements answered at once with an internal error
+    double answer_lost = 0;    // share of statements of which the work runs and the answer never comes
+    double reset_before = 0;   // share of POSTs whose connection breaks unread
+    double busy = 0;           // share of POSTs answered 503
+    double cut = 0;            // share of answers that break off in the middle
+    double trickle = 0;        // answers leave so many bytes every 10 ms; 0: whole
+    bool lost_resets = false;  // a poll for a lost answer breaks instead of waiting
+    double report_late_s = 0;  // load reports are this old
+    bool flush = false;        // at the moment it is set: nothing is warm any more
 };
 
 struct ServiceSettings {
     std::string name = "engine";
     net::Address listen;
     MachineSettings machine;
-    std::size_t page_bytes = 1 << 20;     // rows of one document
+    std::size_t page_bytes = 1 << 20;  // rows of one document
     Micros long_poll = 400 * kMillisecond;
     Micros abandoned_after = 10 * kSecondMicros;
-    bool reports = true;                  // load reports in a header of every answer
-    std::string journal;                  // file; empty: none
+    bool reports = true;  // load reports in a header of every answer
+    std::string journal;  // file; empty: none
     std::uint64_t seed = 1;
 };
 
 // One thing that happened to an attempt, or to the engine itself.
 struct Entry {
     Micros at = 0;
-    std::string event;  // received, refused, repeat, started, spilled, finished, error, cancelled, abandoned, lost;
-                        // up, down, fallen, drain
+    std::string event;  // received, refused, repeat, started, spilled, finished, error, cancelled, abandoned,
+                        // lost; up, down, fallen, drain
     std::string trace, id, front, user, source, tags;
     double work_us = 0, peak_mb = 0, spilled_mb = 0;
 };
 
-// The rows that a statement is answered with depend on its text alone, so that a wrong or doubled answer shows.
+// The rows that a statement is answered with depend on its text alone, so that a wrong or doubled answer
+// shows.
 std::string row_of(std::string_view sql, std::size_t index);
 // Hints in the statement's text tell the machine what it costs:
-// /* gt: work_ms=120 threads=2 io=0.3 mem_mb=64 group=g7 rows=10 row_bytes=20 load=1 yields=1 fail=SYNTAX_ERROR */
+// /* gt: work_ms=120 threads=2 io=0.3 mem_mb=64 group=g7 rows=10 row_bytes=20 load=1 yields=1
+// fail=SYNTAX_ERROR */
 struct Hints {
     double work_ms = 5, threads = 1, io = 0.3, mem_mb = 16;
     std::size_t rows = 3, row_bytes = 16;
--- a/src/front/engines.cpp
+++ b/src/front/engines.cpp
@@ -8,7 +8,12 @@
 
 namespace gatetiller::front {
 Engines::Engines(net::Loop& loop, const config::FrontSettings& s, Events events)
-    : loop_(loop), roster_(s.roster), own_(s.engines), client_options_(s.client), name_(s.name), events_(std::move(events)) {}
+    : loop_(loop),
+      roster_(s.roster),
+      own_(s.engines),
+      client_options_(s.client),
+      name_(s.name),
+      events_(std::move(events)) {}
 
 Engines::~Engines() { loop_.cancel(watching_); }
 
@@ -31,7 +36,8 @@
         source_->start({[this](auto list) {
                             take_list(list, ListForm::total);
                             if (roster_.keep.empty()) return;
-                            if (auto kept = roster::keep_last_list(roster_.keep, list); !kept) events_.log(kept.error());
+                            if (auto kept = roster::keep_last_list(roster_.keep, list); !kept)
+                                events_.log(kept.error());
                         },
                         [this](const std::string& why) {
                             events_.log("the list of engines is lost: " + why);
@@ -68,7 +74,8 @@
             engine->client = std::make_unique<http::Client>(loop_, settings.address, client_options_);
         }
         engine->settings = settings;
-        engine->watch.listed({id, settings.state, settings.zone, settings.kind, settings.cell, 0, settings.share});
+        engine->watch.listed(
+            {id, settings.state, settings.zone, settings.kind, settings.cell, 0, settings.share});
         named.insert(id);
         change.engines.push_back(engine->watch.entry());
     }
@@ -91,7 +98,8 @@
 
 void Engines::watch() {
     for (auto& [id, e] : engines_)
-        if (e->watch.entry().state != EngineState::off && !e->info.active() && !e->state.active()) ask_state(*e);
+        if (e->watch.entry().state != EngineState::off && !e->info.active() && !e->state.active())
+            ask_state(*e);
     watching_ = loop_.after(roster_.watch_every, [this] { watch(); });
 }
 
@@ -99,23 +107,27 @@
     http::Headers headers;
     headers.add("User-Agent", "gatetiller/" + name_);
     const Micros limit = std::max(roster_.watch_every, kSecondMicros);
-    e.info = e.client->send({"GET", "/v1/info", 1, headers, {}, {}}, limit, [this, &e, headers, limit](http::Answer a) {
-        if (a.reached != http::Reached::answered || a.response.status != 200) return;
-        const auto found = statement::members(a.response.body);
-        if (!found) return;
-        e.starting = false, e.uptime.reset();
-        for (const auto& m : *found) {
-            if (m.key == "starting") e.starting = m.raw == "true";
-            if (m.key == "uptime")
-                if (const auto span = parse_span(statement::as_string(m.raw).value_or(""))) e.uptime = *span;
-        }
-        e.state = e.client->send({"GET", "/v1/info/state", 1, headers, {}, {}}, limit, [this, &e](http::Answer s) {
-            const bool told = s.reached == http::Reached::answered && s.response.status == 200;
-            if (!told) return;
-            const bool ends = statement::as_string(trimmed(s.response.body)).value_or("") == "SHUTTING_DOWN";
-            if (e.watch.said(loop_.now(), ends, e.starting, e.uptime)) changed(e);
+    e.info = e.client->send(
+        {"GET", "/v1/info", 1, headers, {}, {}}, limit, [this, &e, headers, limit](http::Answer a) {
+            if (a.reached != http::Reached::answered || a.response.status != 200) return;
+            const auto found = statement::members(a.response.body);
+            if (!found) return;
+            e.starting = false, e.uptime.reset();
+            for (const auto& m : *found) {
+                if (m.key == "starting") e.starting = m.raw == "true";
+                if (m.key == "uptime")
+                    if (const auto span = parse_span(statement::as_string(m.raw).value_or("")))
+                        e.uptime = *span;
+            }
+            e.state = e.client->send(
+                {"GET", "/v1/info/state", 1, headers, {}, {}}, limit, [this, &e](http::Answer s) {
+                    const bool told = s.reached == http::Reached::answered && s.response.status == 200;
+                    if (!told) return;
+                    const bool ends =
+                        statement::as_string(trimmed(s.response.body)).value_or("") == "SHUTTING_DOWN";
+                    if (e.watch.said(loop_.now(), ends, e.starting, e.uptime)) changed(e);
+                });
         });
-    });
 }
 
 void Engines::probe(EngineId id, std::function<void(Micros, Outcome, std::optional<Report>)> done) {
@@ -126,12 +138,13 @@
         ->send({"GET", "/v1/status", 1, {}, {}, {}}, kSecondMicros,
                [this, began, done = std::move(done)](const http::Answer& a) {
                    const bool fine = a.reached == http::Reached::answered && a.response.status == 200;
-                   const Outcome how = fine                                        ? Outcome::done
-                                       : a.reached == http::Reached::answered      ? Outcome::err
-                                       : a.reached == http::Reached::late          ? Outcome::etimedout
-                                       : a.reached == http::Reached::broken        ? Outcome::econnreset
-                                                                                   : Outcome::econnrefused;
-                   done(loop_.now() - began, how, fine ? statement::read_report(a.response.headers) : std::nullopt);
+                   const Outcome how = fine                                   ? Outcome::done
+                                       : a.reached == http::Reached::answered ? Outcome::err
+                                       : a.reached == http::Reached::late     ? Outcome::etimedout
+                                       : a.reached == http::Reached::broken   ? Outcome::econnreset
+                                                                              : Outcome::econnrefused;
+                   done(loop_.now() - began, how,
+                        fine ? statement::read_report(a.response.headers) : std::nullopt);
                })
         .detach();
 }
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -17,9 +17,13 @@
 constexpr Micros kLastPolls = 300 * kMillisecond;  // after the last final answer, for one that was lost
 constexpr Micros kNearDeadline = 100 * kMillisecond;
 
-std::string session_span(Micros span) { return std::to_string(std::max<Micros>(1, span / kMillisecond)) + "ms"; }
+std::string session_span(Micros span) {
+    return std::to_string(std::max<Micros>(1, span / kMillisecond)) + "ms";
+}
 
-std::string retry_after(Micros span) { return std::to_string(std::max<Micros>(1, (span + kSecondMicros - 1) / kSecondMicros)); }
+std::string retry_after(Micros span) {
+    return std::to_string(std::max<Micros>(1, (span + kSecondMicros - 1) / kSecondMicros));
+}
 
 std::vector<std::string> tenant_names(const Settings& s) {
     std::vector<std::string> names;
@@ -36,7 +40,12 @@
 
 struct Front::Attempt final : statement::EngineCall::Events {
     Attempt(Front& f, Running& r, int n, EngineId e)
-        : front(f), running(r), number(n), engine(e), sent(f.loop_.now()), notes(sent, f.settings_.module.note_period) {}
+        : front(f),
+          running(r),
+          number(n),
+          engine(e),
+          sent(f.loop_.now()),
+          notes(sent, f.settings_.module.note_period) {}
     ~Attempt() override { front.loop_.cancel(timer); }
     void on_document(statement::EngineCall&, statement::Document d, const http::Headers& h) override {
         front.on_document(*this, std::move(d), h);
@@ -77,12 +86,19 @@
 };
 
 Front::Front(net::Loop& loop, config::FrontSettings settings, Deps deps)
-    : loop_(loop), settings_(std::move(settings)), deps_(std::move(deps)),
-      router_(settings_.routes, tenant_names(settings_.module)), holding_(settings_.holding), metrics_(settings_.module),
+    : loop_(loop),
+      settings_(std::move(settings)),
+      deps_(std::move(deps)),
+      router_(settings_.routes, tenant_names(settings_.module)),
+      holding_(settings_.holding),
+      metrics_(settings_.module),
       brain_(loop.now(), deps_.seed, settings_.module),
-      engines_(loop, settings_, {[this](ListChange c) { post(std::move(c)); }, [this](const std::string& t) { deps_.log(t); }}),
+      engines_(
+          loop, settings_,
+          {[this](ListChange c) { post(std::move(c)); }, [this](const std::string& t) { deps_.log(t); }}),
       statements_(loop, settings_.statements, *this, deps_.entropy),
-      server_(loop, settings_.server, [this](http::Request& r, http::Server::Reply reply) { handle(r, std::move(reply)); }) {}
+      server_(loop, settings_.server,
+              [this](http::Request& r, http::Server::Reply reply) { handle(r, std::move(reply)); }) {}
 
 Front::~Front() {
     loop_.cancel(drain_timer_);
@@ -105,9 +121,12 @@
 void Front::handle(http::Request& request, http::Server::Reply reply) {
     if (statements_.handle(request, reply)) return;
     if (request.target == "/metrics" && request.method == "GET") {
-        http::Response r{200, {}, metrics_.page({static_cast<double>(running_.size()), static_cast<double>(statements_.waiting_in_all()),
-                                                 static_cast<double>(server_.connections()), brain_.alpha(),
-                                                 static_cast<double>(statements_.kept())})};
+        http::Response r{200,
+                         {},
+                         metrics_.page({static_cast<double>(running_.size()),
+                                        static_cast<double>(statements_.waiting_in_all()),
+                                        static_cast<double>(server_.connections()), brain_.alpha(),
+                                        static_cast<double>(statements_.kept())})};
         r.headers.add("Content-Type", "text/plain; version=0.0.4");
         return reply.send(r);
     }
@@ -125,28 +144,38 @@
     const auto turned_away = [&](int status, const char* why, const std::string& text) {
         metrics_.turned_away(why);
         auto r = statement::text_response(status, text);
-        if (status == 429 || status == 503) r.headers.add("Retry-After", retry_after(settings_.holding.come_back));
+        if (status == 429 || status == 503)
+            r.headers.add("Retry-After", retry_after(settings_.holding.come_back));
         return r;
     };
     if (draining_) return turned_away(503, "draining", "this front is shutting down: ask another one");
     const auto& c = s.context;
     auto routed = router_.route({c.user, c.source, c.catalog, c.schema, c.trace_token, c.tags});
     if (!routed)
-        return turned_away(400, "no_route", "no route takes this statement: user '" + c.user + "', source '" + c.source + "'");
+        return turned_away(400, "no_route",
+                           "no route takes this statement: user '" + c.user + "', source '" + c.source + "'");
     switch (holding_.admit(c.user, s.sql.size())) {
         case decide::Admission::taken: break;
-        case decide::Admission::front_full: return turned_away(429, "front_full", "too many statements at this front");
-        case decide::Admission::user_full: return turned_away(429, "user_full", "too many statements of this user");
-        case decide::Admission::too_long: return turned_away(413, "too_long", "a statement of over " + std::to_string(settings_.holding.statement_bytes) + " bytes");
+        case decide::Admission::front_full:
+            return turned_away(429, "front_full", "too many statements at this front");
+        case decide::Admission::user_full:
+            return turned_away(429, "user_full", "too many statements of this user");
+        case decide::Admission::too_long:
+            return turned_away(
+                413, "too_long",
+                "a statement of over " + std::to_string(settings_.holding.statement_bytes) + " bytes");
     }
     const auto& classes = settings_.module.classes;
-    const auto cls = std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == routed->cls; });
+    const auto cls =
+        std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == routed->cls; });
     auto r = std::make_unique<Running>();
     r->id = id, r->routed = std::move(*routed), r->user = c.user, r->arrived = loop_.now();
     const Micros limit = c.run_limit > 0 ? std::min(c.run_limit, cls->deadline) : cls->deadline;
     const Micros left = decide::time_left(limit, loop_.unseen(), settings_.answer_reserve);
     r->deadline = r->arrived + left;
-    Demand d{id, r->routed.cls, r->routed.tenant, r->routed.key, left, std::nullopt, c.memory_estimate / kMega, r->routed.group, false};
+    Demand d{id,   r->routed.cls, r->routed.tenant,          r->routed.key,
+             left, std::nullopt,  c.memory_estimate / kMega, r->routed.group,
+             false};
     if (c.cpu_estimate > 0) d.cost = c.cpu_estimate;
     r->submission = std::move(s);
     metrics_.taken(r->routed.cls);
@@ -187,15 +216,27 @@
     if (r && r->life.take(Happening::final_given)) finish(*r);
 }
 
-// The client has its final document, or has left. What is known is written down; the rest is freed once no attempt is
-// out any more.
+// The client has its final document, or has left. What is known is written down; the rest is freed once no
+// attempt is out any more.
 void Front::finish(Running& r) {
     holding_.finished(r.user);
     const Micros now = loop_.now(), ended = r.ended_at > 0 ? r.ended_at : now;
-    Finished f{r.id, r.submission.context.trace_token, r.user, r.routed.cls, r.routed.tenant, r.last_engine, r.last_error,
-               static_cast<int>(r.attempts.size()), r.ended, (r.first_sent > 0 ? r.first_sent : ended) - r.arrived,
-               r.first_sent > 0 ? ended - r.first_sent : 0, now - ended, now - r.arrived, r.stats.cpu_ms,
-               r.stats.peak_memory_bytes, r.stats.spilled_bytes};
+    Finished f{r.id,
+               r.submission.context.trace_token,
+               r.user,
+               r.routed.cls,
+               r.routed.tenant,
+               r.last_engine,
+               r.last_error,
+               static_cast<int>(r.attempts.size()),
+               r.ended,
+               (r.first_sent > 0 ? r.first_sent : ended) - r.arrived,
+               r.first_sent > 0 ? ended - r.first_sent : 0,
+               now - ended,
+               now - r.arrived,
+               r.stats.cpu_ms,
+               r.stats.peak_memory_bytes,
+               r.stats.spilled_bytes};
     metrics_.finished(f);
     if (deps_.finished) deps_.finished(f);
     if (r.life.freeable()) free_later(r.id);
@@ -226,19 +267,26 @@
     std::string engines;
     for (const auto& [number, e] : engines_.all()) {
         const auto state = e->watch.entry().state;
-        engines += (engines.empty() ? "" : ",") + ("{\"name\":" + statement::json_string(e->settings.name)) + ",\"address\":" +
-                   statement::json_string(e->settings.address.text()) + ",\"state\":" +
-                   (state == EngineState::on ? "\"on\"" : state == EngineState::fading ? "\"fading\"" : "\"off\"") + ",\"connections\":" +
-                   std::to_string(e->client->open()) + "}";
+        engines += (engines.empty() ? "" : ",") + ("{\"name\":" + statement::json_string(e->settings.name)) +
+                   ",\"address\":" + statement::json_string(e->settings.address.text()) + ",\"state\":" +
+                   (state == EngineState::on       ? "\"on\""
+                    : state == EngineState::fading ? "\"fading\""
+                                                   : "\"off\"") +
+                   ",\"connections\":" + std::to_string(e->client->open()) + "}";
     }
-    return ",\"engines\":[" + engines + "]"
-           ",\"statements\":" + std::to_string(running_.size()) + ",\"waitingBytes\":" + std::to_string(statements_.waiting_in_all()) +
-           ",\"connections\":" + std::to_string(server_.connections()) + ",\"alpha\":" + std::to_string(brain_.alpha());
+    return ",\"engines\":[" + engines +
+           "]"
+           ",\"statements\":" +
+           std::to_string(running_.size()) +
+           ",\"waitingBytes\":" + std::to_string(statements_.waiting_in_all()) +
+           ",\"connections\":" + std::to_string(server_.connections()) +
+           ",\"alpha\":" + std::to_string(brain_.alpha());
 }
 
 // ---- Events of the module, and its actions
 
-// Events that come up while actions are carried out wait for their turn, so that the module sees them in order.
+// Events that come up while actions are carried out wait for their turn, so that the module sees them in
+// order.
 void Front::post(Event event) {
     if (deps_.drop_event && deps_.drop_event(event)) return;
     events_.push_back(std::move(event));
@@ -252,74 +300,85 @@
 }
 
 void Front::carry_out(const Action& action) {
-    std::visit(
-        Overloaded{
-            [&](const Send& a) { send(a); },
-            [&](const Terms& a) {
-                // An attempt that is out keeps its priority: the statement API has no way to change it.
-                if (Running* r = find(a.id)) {
-                    if (a.grant_mb > 0) r->grant_mb = a.grant_mb;
-                    r->priority = a.priority;
-                }
-            },
-            [&](const Refuse& a) {
-                Running* r = find(a.id);
-                if (!r || r->life.finished()) return;
-                statement::Document d;
-                d.stats = r->stats;
-                d.stats.state = "FAILED";
-                d.error = statement::error_named("QUERY_QUEUE_FULL", "refused, trying again is harmless" +
-                                                                         (r->last_error.empty() ? std::string(": no engine has room in time")
-                                                                                                : ": " + r->last_error));
-                answer_finally(*r, std::move(d), Ended::refused, a.come_back);
-            },
-            [&](const Fail& a) {
-                Running* r = find(a.id);
-                if (!r || r->life.finished()) return;
-                statement::Document d;
-                d.stats = r->stats;
-                d.stats.state = "FAILED";
-                const bool late = r->last == Outcome::etimedout || loop_.now() + kNearDeadline >= r->deadline;
-                const char* name = late ? "EXCEEDED_TIME_LIMIT" : r->last == Outcome::econnreset ? "REMOTE_HOST_GONE" : "GENERIC_INTERNAL_ERROR";
-                d.error = statement::error_named(name, "it may have run" + (r->last_error.empty() ? "" : ": " + r->last_error));
-                answer_finally(*r, std::move(d), Ended::failed, 0);
-            },
-            [&](const Cancel& a) {
-                Running* r = find(a.id);
-                if (!r || a.attempt < 0 || a.attempt >= static_cast<int>(r->attempts.size())) return;
-                Attempt& attempt = *r->attempts[static_cast<std::size_t>(a.attempt)];
-                if (attempt.over || r->flowing()) return;  // a stream that has begun is not called off
-                attempt.call->cancel();
-                complete(attempt, Outcome::ecanceled, r->life.finished());
-            },
-            [&](const Probe& a) {
-                engines_.probe(a.engine, [this, id = a.engine](Micros taken, Outcome how, std::optional<Report> report) {
-                    post(Probed{id, taken, how, report});
-                });
-            },
-            [&](const Tell&) {},  // no peers here: the settings never allow it
-            [&](const Observe&) { engines_.ask(); },
-            [&](const SetTimer& a) {
-                const std::int64_t key = ++last_bell_;
-                bells_[key] = loop_.after(a.delay, [this, key, name = a.name] {
-                    bells_.erase(key);
-                    post(Bell{name});
-                });
-            }},
-        action);
+    std::visit(Overloaded{[&](const Send& a) { send(a); },
+                          [&](const Terms& a) {
+                              // An attempt that is out keeps its priority: the statement API has no way to
+                              // change it.
+                              if (Running* r = find(a.id)) {
+                                  if (a.grant_mb > 0) r->grant_mb = a.grant_mb;
+                                  r->priority = a.priority;
+                              }
+                          },
+                          [&](const Refuse& a) {
+                              Running* r = find(a.id);
+                              if (!r || r->life.finished()) return;
+                              statement::Document d;
+                              d.stats = r->stats;
+                              d.stats.state = "FAILED";
+                              d.error = statement::error_named(
+                                  "QUERY_QUEUE_FULL",
+                                  "refused, trying again is harmless" +
+                                      (r->last_error.empty() ? std::string(": no engine has room in time")
+                                                             : ": " + r->last_error));
+                              answer_finally(*r, std::move(d), Ended::refused, a.come_back);
+                          },
+                          [&](const Fail& a) {
+                              Running* r = find(a.id);
+                              if (!r || r->life.finished()) return;
+                              statement::Document d;
+                              d.stats = r->stats;
+                              d.stats.state = "FAILED";
+                              const bool late =
+                                  r->last == Outcome::etimedout || loop_.now() + kNearDeadline >= r->deadline;
+                              const char* name = late                             ? "EXCEEDED_TIME_LIMIT"
+                                                 : r->last == Outcome::econnreset ? "REMOTE_HOST_GONE"
+                                                                                  : "GENERIC_INTERNAL_ERROR";
+                              d.error = statement::error_named(
+                                  name,
+                                  "it may have run" + (r->last_error.empty() ? "" : ": " + r->last_error));
+                              answer_finally(*r, std::move(d), Ended::failed, 0);
+                          },
+                          [&](const Cancel& a) {
+                              Running* r = find(a.id);
+                              if (!r || a.attempt < 0 || a.attempt >= static_cast<int>(r->attempts.size()))
+                                  return;
+                              Attempt& attempt = *r->attempts[static_cast<std::size_t>(a.attempt)];
+                              if (attempt.over || r->flowing())
+                                  return;  // a stream that has begun is not called off
+                              attempt.call->cancel();
+                              complete(attempt, Outcome::ecanceled, r->life.finished());
+                          },
+                          [&](const Probe& a) {
+                              engines_.probe(a.engine, [this, id = a.engine](Micros taken, Outcome how,
+                                                                             std::optional<Report> report) {
+                                  post(Probed{id, taken, how, report});
+                              });
+                          },
+                          [&](const Tell&) {},  // no peers here: the settings never allow it
+                          [&](const Observe&) { engines_.ask(); },
+                          [&](const SetTimer& a) {
+                              const std::int64_t key = ++last_bell_;
+                              bells_[key] = loop_.after(a.delay, [this, key, name = a.name] {
+                                  bells_.erase(key);
+                                  post(Bell{name});
+                              });
+                          }},
+               action);
 }
 
 void Front::send(const Send& action) {
     Running* r = find(action.id);
     if (!r) return;
-    r->attempts.push_back(std::make_unique<Attempt>(*this, *r, static_cast<int>(r->attempts.size()), action.engine));
+    r->attempts.push_back(
+        std::make_unique<Attempt>(*this, *r, static_cast<int>(r->attempts.size()), action.engine));
     Attempt& a = *r->attempts.back();
     if (!r->life.take(Happening::sent)) return complete(a, Outcome::skipped, r->life.finished());
     if (r->first_sent == 0) r->first_sent = a.sent;
     Engine* engine = engines_.find(action.engine);
     if (!engine) return complete(a, Outcome::econnrefused, false);
     r->last_engine = engine->settings.name;
-    const Micros limit = action.time_out > 0 ? std::min(action.time_out, r->deadline - a.sent) : r->deadline - a.sent;
+    const Micros limit =
+        action.time_out > 0 ? std::min(action.time_out, r->deadline - a.sent) : r->deadline - a.sent;
     // The engine stops by itself at the deadline, whatever becomes of this front.
     std::map<std::string, std::string> set{{"query_max_run_time", session_span(limit)}};
     if (r->grant_mb > 0) set["query_max_memory"] = std::to_string(std::llround(r->grant_mb)) + "MB";
@@ -370,7 +429,8 @@
     if (a.over) return;
     if (auto report = statement::read_report(headers)) a.report = report;
     a.stats = r.stats = d.stats;
-    a.ever_ran = a.ever_ran || d.stats.cpu_ms > 0 || d.has_rows() || d.stats.state == "RUNNING" || d.stats.state == "FINISHING";
+    a.ever_ran = a.ever_ran || d.stats.cpu_ms > 0 || d.has_rows() || d.stats.state == "RUNNING" ||
+                 d.stats.state == "FINISHING";
     if (!d.columns.empty()) a.columns = d.columns;
     if (d.final()) {
         decide::AttemptEnd how;
@@ -378,7 +438,8 @@
         if (d.error) how.has_error = true, how.error_type = d.error->type, how.error_name = d.error->name;
         return end_attempt(a, how, std::move(d), headers);
     }
-    const decide::Seen seen{d.stats.progress, d.stats.queued, d.stats.scheduled, d.stats.queued_splits, d.stats.running_splits, d.stats.spilled_bytes};
+    const decide::Seen seen{d.stats.progress,      d.stats.queued,         d.stats.scheduled,
+                            d.stats.queued_splits, d.stats.running_splits, d.stats.spilled_bytes};
     for (const auto& note : a.notes.take(loop_.now(), seen)) {
         post(Note{r.id, a.number, a.engine, note.topic, note.value});
         if (a.over) return;  // the module called it off
@@ -394,7 +455,8 @@
 }
 
 void Front::ask_on(Attempt& a) {
-    if (holding_.may_ask_on(statements_.waiting_bytes(a.running.id), statements_.waiting_in_all())) a.call->next();
+    if (holding_.may_ask_on(statements_.waiting_bytes(a.running.id), statements_.waiting_in_all()))
+        a.call->next();
 }
 
 void Front::on_end(Attempt& a, const statement::CallEnd& end) {
@@ -416,7 +478,8 @@
     end_attempt(a, how, std::move(d), {});
 }
 
-void Front::end_attempt(Attempt& a, decide::AttemptEnd how, statement::Document d, const http::Headers& headers) {
+void Front::end_attempt(Attempt& a, decide::AttemptEnd how, statement::Document d,
+                        const http::Headers& headers) {
     Running& r = a.running;
     const auto verdict = decide::judge(how);
     if (d.error) r.last_error = d.error->message;
@@ -430,7 +493,8 @@
         statements_.push(r.id, std::move(d), std::move(passed));
     } else if (r.flowing()) {
         // Rows have gone out: nothing is tried again, and the client learns that what it has is not whole.
-        if (!d.error) d.error = statement::error_named("REMOTE_HOST_GONE", "the engine failed after the first rows");
+        if (!d.error)
+            d.error = statement::error_named("REMOTE_HOST_GONE", "the engine failed after the first rows");
         r.life.take(Happening::answer);
         r.ended = Ended::cut, r.ended_at = loop_.now();
         complete(a, verdict.outcome, true);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -1,6 +1,7 @@
-// front: the running front. Statements come in from the statement API's server side; what happens becomes events of the
-// module, and each action that the module returns is carried out exactly. It decides nothing by itself: what the
-// module leaves open (classes, limits, what an engine's answer means) is asked of src/decide.
+// front: the running front. Statements come in from the statement API's server side; what happens becomes
+// events of the module, and each action that the module returns is carried out exactly. It decides nothing by
+// itself: what the module leaves open (classes, limits, what an engine's answer means) is asked of
+// src/decide.
 #pragma once
 
 #include <deque>
@@ -19,10 +20,10 @@
 namespace gatetiller::front {
 
 struct Deps {
-    std::function<std::string()> entropy;             // 32 hex digits that nobody can guess
-    std::uint64_t seed = 1;                           // of the module
-    std::function<void(const std::string&)> log;      // what an operator reads
-    std::function<void(const Finished&)> finished;    // one call for each finished statement
+    std::function<std::string()> entropy;           // 32 hex digits that nobody can guess
+    std::uint64_t seed = 1;                         // of the module
+    std::function<void(const std::string&)> log;    // what an operator reads
+    std::function<void(const Finished&)> finished;  // one call for each finished statement
     // For tests that break a front on purpose: true keeps an event from the module. Absent in service.
     std::function<bool(const Event&)> drop_event = nullptr;
 };
@@ -67,7 +68,8 @@
     void complete(Attempt& a, Outcome outcome, bool finished);
     void on_document(Attempt& a, statement::Document document, const http::Headers& headers);
     void on_end(Attempt& a, const statement::CallEnd& end);
-    void end_attempt(Attempt& a, decide::AttemptEnd how, statement::Document answer, const http::Headers& headers);
+    void end_attempt(Attempt& a, decide::AttemptEnd how, statement::Document answer,
+                     const http::Headers& headers);
     void ask_on(Attempt& a);
     void finish(Running& r);
     void free_later(const std::string& id);
--- a/src/front/metrics.cpp
+++ b/src/front/metrics.cpp
@@ -21,22 +21,42 @@
 namespace {
 
 const char* name_of(Outcome o) {
-    constexpr std::array kNames = {"done", "err", "busy", "etimedout", "econnrefused", "econnreset", "ecanceled", "skipped"};
+    constexpr std::array kNames = {"done",         "err",        "busy",      "etimedout",
+                                   "econnrefused", "econnreset", "ecanceled", "skipped"};
     return kNames[static_cast<std::size_t>(o)];
 }
 
-const prometheus::Histogram::BucketBoundaries kSeconds = {0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32};
+const prometheus::Histogram::BucketBoundaries kSeconds = {0.005, 0.02, 0.05, 0.1, 0.25, 0.5,
+                                                          1,     2,    4,    8,   16,   32};
 
 }  // namespace
 
 Metrics::Metrics(const Settings&)
     : registry_(std::make_shared<prometheus::Registry>()),
-      taken_(prometheus::BuildCounter().Name("gatetiller_statements_taken_total").Help("Statements taken, by class.").Register(*registry_)),
-      turned_away_(prometheus::BuildCounter().Name("gatetiller_statements_turned_away_total").Help("Statements not taken, by reason.").Register(*registry_)),
-      attempts_(prometheus::BuildCounter().Name("gatetiller_attempts_total").Help("Attempts that ended, by outcome.").Register(*registry_)),
-      finished_(prometheus::BuildCounter().Name("gatetiller_statements_finished_total").Help("Statements that ended, by class and how.").Register(*registry_)),
-      seconds_(prometheus::BuildHistogram().Name("gatetiller_statement_seconds").Help("From taking a statement to its final answer.").Register(*registry_)),
-      gauges_(prometheus::BuildGauge().Name("gatetiller_now").Help("Statements in hand, bytes of rows waiting, connections, alpha, finished ones kept.").Register(*registry_)) {}
+      taken_(prometheus::BuildCounter()
+                 .Name("gatetiller_statements_taken_total")
+                 .Help("Statements taken, by class.")
+                 .Register(*registry_)),
+      turned_away_(prometheus::BuildCounter()
+                       .Name("gatetiller_statements_turned_away_total")
+                       .Help("Statements not taken, by reason.")
+                       .Register(*registry_)),
+      attempts_(prometheus::BuildCounter()
+                    .Name("gatetiller_attempts_total")
+                    .Help("Attempts that ended, by outcome.")
+                    .Register(*registry_)),
+      finished_(prometheus::BuildCounter()
+                    .Name("gatetiller_statements_finished_total")
+                    .Help("Statements that ended, by class and how.")
+                    .Register(*registry_)),
+      seconds_(prometheus::BuildHistogram()
+                   .Name("gatetiller_statement_seconds")
+                   .Help("From taking a statement to its final answer.")
+                   .Register(*registry_)),
+      gauges_(prometheus::BuildGauge()
+                  .Name("gatetiller_now")
+                  .Help("Statements in hand, bytes of rows waiting, connections, alpha, finished ones kept.")
+                  .Register(*registry_)) {}
 
 void Metrics::taken(const std::string& cls) { taken_.Add({{"class", cls}}).Increment(); }
 void Metrics::turned_away(const char* why) { turned_away_.Add({{"why", why}}).Increment(); }
--- a/src/front/metrics.hpp
+++ b/src/front/metrics.hpp
@@ -30,8 +30,8 @@
     std::string id, trace, user, cls, tenant, engine, error;
     int attempts = 0;
     Ended ended = Ended::served;
-    // Phases, in microseconds: held before the first attempt, from there to the end of the last one, and until the
-    // client had fetched the final document.
+    // Phases, in microseconds: held before the first attempt, from there to the end of the last one, and
+    // until the client had fetched the final document.
     Micros held = 0, running = 0, fetching = 0, total = 0;
     std::int64_t cpu_ms = 0, peak_memory_bytes = 0, spilled_bytes = 0;
 };
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -1,5 +1,5 @@
-// The client side: one Client for each server, with connections kept for reuse. The result of a call says exactly
-// how far it came, since what may be tried again depends on whether the server can have seen it.
+// The client side: one Client for each server, with connections kept for reuse. The result of a call says
+// exactly how far it came, since what may be tried again depends on whether the server can have seen it.
 #pragma once
 
 #include <functional>
@@ -15,8 +15,8 @@
     answered,      // a whole response came
     never_sent,    // no connection came about: the server has not seen the request
     connect_late,  // the same, after the time for connecting
-    broken,        // the connection broke after the request went out, or the answer made no sense: it may have run
-    late,          // no whole answer in time: it may have run, or be running
+    broken,  // the connection broke after the request went out, or the answer made no sense: it may have run
+    late,    // no whole answer in time: it may have run, or be running
 };
 
 struct Answer {
@@ -28,7 +28,8 @@
 struct ClientOptions {
     Limits limits{};
     Micros connect_time_out = 250 * kMillisecond;
-    Micros idle_time_out = 20 * kSecondMicros;  // shorter than servers': a request must not meet a closing connection
+    Micros idle_time_out =
+        20 * kSecondMicros;  // shorter than servers': a request must not meet a closing connection
     std::size_t idle_connections = 64;
 };
 
@@ -63,7 +64,8 @@
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
 
-    // `time_out` is for the whole call, connecting included; 0: none. Done is never called before this returns.
+    // `time_out` is for the whole call, connecting included; 0: none. Done is never called before this
+    // returns.
     Call send(const Request& request, Micros time_out, Done done);
     const net::Address& server() const { return server_; }
     std::size_t open() const { return all_.size(); }
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -39,7 +39,12 @@
 std::string write(const Request& request, std::string_view host) {
     std::string out;
     out.reserve(256 + request.body.size());
-    out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
+    out.append(request.method)
+        .append(" ")
+        .append(request.target)
+        .append(" HTTP/1.1\r\nHost: ")
+        .append(host)
+        .append("\r\n");
     add_fields(out, request.headers);
     if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
         out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
@@ -49,7 +54,11 @@
 std::string write(const Response& response, bool close, bool head_only) {
     std::string out;
     out.reserve(256 + response.body.size());
-    out.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ").append(reason_of(response.status)).append("\r\n");
+    out.append("HTTP/1.1 ")
+        .append(std::to_string(response.status))
+        .append(" ")
+        .append(reason_of(response.status))
+        .append("\r\n");
     add_fields(out, response.headers);
     if (response.status != 204 && response.status >= 200)
         out.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -1,7 +1,7 @@
-// An incremental parser of HTTP/1.1 messages, for requests and for responses. Bytes may come in any pieces; the
-// result is the same. What two parsers could read differently is refused, since a request smuggled past one of
-// them ends up in somebody else's answer: two lengths, a length with chunked, bare LF, folded lines, spaces before
-// the colon, odd characters in names, signs or spaces in numbers.
+// An incremental parser of HTTP/1.1 messages, for requests and for responses. Bytes may come in any pieces;
+// the result is the same. What two parsers could read differently is refused, since a request smuggled past
+// one of them ends up in somebody else's answer: two lengths, a length with chunked, bare LF, folded lines,
+// spaces before the colon, odd characters in names, signs or spaces in numbers.
 #pragma once
 
 #include "base/buffer.hpp"
@@ -19,13 +19,26 @@
 class Parser {
 public:
     enum class Kind { request, response };
-    enum class State { start, fields, body_by_length, body_to_end, chunk_size, chunk, chunk_end, trailers, done, failed };
+    enum class State {
+        start,
+        fields,
+        body_by_length,
+        body_to_end,
+        chunk_size,
+        chunk,
+        chunk_end,
+        trailers,
+        done,
+        failed
+    };
 
     Parser(Kind kind, Limits limits) : kind_(kind), limits_(limits) {}
 
-    // Takes what it can use from `in`, up to the end of one message. True once the message is done or has failed.
+    // Takes what it can use from `in`, up to the end of one message. True once the message is done or has
+    // failed.
     bool feed(Buffer& in);
-    // The peer closed the connection: the end of a body that has no other; else a failure, or nothing if idle.
+    // The peer closed the connection: the end of a body that has no other; else a failure, or nothing if
+    // idle.
     bool end_of_input();
     // For the next message on the connection. Of a response: whether it answers a HEAD, and so has no body.
     void reset(bool answers_head = false);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -37,7 +37,8 @@
             server.handler_(request, Reply(self, ++serial));
             if (!stream) return;
         }
-        // While an answer is due, further requests wait in the stream's buffer, which then holds back the client.
+        // While an answer is due, further requests wait in the stream's buffer, which then holds back the
+        // client.
         if (phase == Phase::writing_last) in.clear();
     }
 
@@ -53,12 +54,14 @@
             gone = nullptr;
             return enter(Phase::writing_last);
         }
-        if (server.mischief_.trickle_bytes > 0) return trickle(std::make_shared<std::string>(std::move(text)), 0, close);
+        if (server.mischief_.trickle_bytes > 0)
+            return trickle(std::make_shared<std::string>(std::move(text)), 0, close);
         stream->send(std::move(text));
         answered(close);
     }
     void trickle(std::shared_ptr<std::string> text, std::size_t from, bool close) {
-        const std::size_t n = server.mischief_.trickle_bytes > 0 ? server.mischief_.trickle_bytes : text->size();
+        const std::size_t n =
+            server.mischief_.trickle_bytes > 0 ? server.mischief_.trickle_bytes : text->size();
         stream->send(text->substr(from, n));
         if (from + n >= text->size()) return answered(close);
         server.loop_.after(server.mischief_.trickle_every, [weak = weak_from_this(), text, from, n, close] {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -1,5 +1,5 @@
-// The server side: connections, keep-alive, pipelining (one request at a time, in order), time-outs and limits.
-// A handler gets each whole request along with a Reply, which it may keep and send later.
+// The server side: connections, keep-alive, pipelining (one request at a time, in order), time-outs and
+// limits. A handler gets each whole request along with a Reply, which it may keep and send later.
 #pragma once
 
 #include <functional>
@@ -21,16 +21,16 @@
 };
 
 struct ServerCounts {  // each way to end, counted by itself
-    std::uint64_t accepted = 0, over_limit = 0, requests = 0, malformed = 0, header_timed_out = 0, body_timed_out = 0,
-                  idle_timed_out = 0, write_timed_out = 0, reset = 0;
+    std::uint64_t accepted = 0, over_limit = 0, requests = 0, malformed = 0, header_timed_out = 0,
+                  body_timed_out = 0, idle_timed_out = 0, write_timed_out = 0, reset = 0;
 };
 
 class Server {
     struct Connection;
 
 public:
-    // Answers one request once. Destroyed without an answer it answers 500. Sending to a client who has left does
-    // nothing.
+    // Answers one request once. Destroyed without an answer it answers 500. Sending to a client who has left
+    // does nothing.
     class Reply {
     public:
         Reply() = default;
@@ -42,8 +42,8 @@
         }
         ~Reply();
         void send(const Response& response);
-        bool open() const;         // the client still waits for it
-        void break_connection();   // in place of an answer
+        bool open() const;        // the client still waits for it
+        void break_connection();  // in place of an answer
         // Called once if the connection ends before the answer was sent.
         void on_gone(std::function<void()> call);
 
@@ -64,7 +64,8 @@
     void stop_listening() { listeners_.clear(); }
     // Every answer from now on closes its connection; idle ones close at once.
     void drain();
-    // For stand-ins with faults. Mute: requests are handled, but no answer leaves; once unmuted those connections break.
+    // For stand-ins with faults. Mute: requests are handled, but no answer leaves; once unmuted those
+    // connections break.
     void mute(bool on);
     // And: answers leave a few bytes at a time, or break off in the middle. `cuts` is asked for each answer.
     struct Mischief {
--- a/src/lab/bench_day.hpp
+++ b/src/lab/bench_day.hpp
@@ -1,5 +1,5 @@
-// A day of the operators' bench, as `lbsim draw` writes it, turned into a script of this lab, so that the same troubles at the
-// same times go through the real front.
+// A day of the operators' bench, as `lbsim draw` writes it, turned into a script of this lab, so that the
+// same troubles at the same times go through the real front.
 #pragma once
 
 #include <nlohmann/json.hpp>
--- a/src/lab/day.hpp
+++ b/src/lab/day.hpp
@@ -1,5 +1,5 @@
-// A scripted day: fronts and engines as processes, clients in this one, troubles at their times, and then the checker
-// over all that was recorded.
+// A scripted day: fronts and engines as processes, clients in this one, troubles at their times, and then the
+// checker over all that was recorded.
 #pragma once
 
 #include "lab/checker.hpp"
--- a/src/lab/load.hpp
+++ b/src/lab/load.hpp
@@ -1,5 +1,5 @@
-// Clients of a day: an open loop of statements by class and tenant, each client with its patience, its retries, and its
-// ways of leaving. What they see is recorded.
+// Clients of a day: an open loop of statements by class and tenant, each client with its patience, its
+// retries, and its ways of leaving. What they see is recorded.
 #pragma once
 
 #include <functional>
@@ -13,18 +13,18 @@
 namespace gatetiller::lab {
 
 struct ClassLoad {
-    std::string name;          // as the front's routes know it: the statement's source begins with it
-    double share = 1;          // of the statements
+    std::string name;  // as the front's routes know it: the statement's source begins with it
+    double share = 1;  // of the statements
     double work_ms = 100, cv = 1, threads = 1, io = 0.3, memory_mb = 64, memory_cv = 0.5;
     int rows = 3, groups = 20;
     bool load = false, yields = false, keyed = false;
-    double keys = 0;           // so many keys in turn, for classes that keep their order; 0: a key of its own for each
+    double keys = 0;  // so many keys in turn, for classes that keep their order; 0: a key of its own for each
 };
 
 struct Traffic {
     double rate = 50;  // statements a second
     std::vector<ClassLoad> classes;
-    std::map<std::string, double> tenants;   // share of each
+    std::map<std::string, double> tenants;         // share of each
     double patience_low = 0.8, patience_high = 1;  // of the class's deadline
     int retries = 2;
     Micros retry_wait = 300 * kMillisecond;
@@ -38,12 +38,12 @@
 // What troubles do to the load; all 1 or 0 on a quiet day.
 struct Mood {
     double rate = 1;
-    std::string tenant;        // whose rate is multiplied
+    std::string tenant;  // whose rate is multiplied
     double tenant_rate = 1;
-    double hot_share = 0;      // of statements that read one of `hot_groups`
+    double hot_share = 0;  // of statements that read one of `hot_groups`
     int hot_groups = 1;
-    double heavy_share = 0, heavy_times = 1;  // of the class with the most statements
-    double shift = 0;          // share of statements that turn into the heaviest class
+    double heavy_share = 0, heavy_times = 1;     // of the class with the most statements
+    double shift = 0;                            // share of statements that turn into the heaviest class
     double short_share = 0, short_patience = 1;  // clients who leave or come with little time
     bool short_leaves = false;
 };
--- a/src/lab/process.hpp
+++ b/src/lab/process.hpp
@@ -1,4 +1,5 @@
-// A child process of the lab: one front or one engine, with its output read for the address that it prints first.
+// A child process of the lab: one front or one engine, with its output read for the address that it prints
+// first.
 #pragma once
 
 #include <sys/types.h>
@@ -19,15 +20,17 @@
     Process& operator=(Process&& other) noexcept;
     ~Process();  // kills it
 
-    // Starts `command` with its standard error appended to `log`. Waits for the first line on its standard output.
-    static Result<Process> start(const std::vector<std::string>& command, const std::string& log, Micros patience);
+    // Starts `command` with its standard error appended to `log`. Waits for the first line on its standard
+    // output.
+    static Result<Process> start(const std::vector<std::string>& command, const std::string& log,
+                                 Micros patience);
     const std::string& first_line() const { return line_; }
     pid_t pid() const { return pid_; }
     bool running() const { return pid_ > 0; }
-    void kill();       // at once, without a word
-    void stop();       // holds it still
+    void kill();  // at once, without a word
+    void stop();  // holds it still
     void go_on();
-    void terminate();  // SIGTERM: it ends by itself
+    void terminate();            // SIGTERM: it ends by itself
     bool wait(Micros patience);  // until it ended; false if it hasn't
 
 private:
--- a/src/lab/records.hpp
+++ b/src/lab/records.hpp
@@ -1,5 +1,6 @@
-// lab: scripted days on loopback with real fronts, stand-in engines and clients, and the checker of the seven rules.
-// This file: what was recorded, one JSON object a line. All times are of the machine's monotonic clock.
+// lab: scripted days on loopback with real fronts, stand-in engines and clients, and the checker of the seven
+// rules. This file: what was recorded, one JSON object a line. All times are of the machine's monotonic
+// clock.
 #pragma once
 
 #include <map>
@@ -20,7 +21,7 @@
     std::uint64_t stream = 0;
     net::TapEvent::What what = net::TapEvent::What::sent;
     std::string peer;
-    std::string bytes;  // the first kSocketBytes of what was handed over at once
+    std::string bytes;     // the first kSocketBytes of what was handed over at once
     std::size_t size = 0;  // of all of it
 };
 constexpr std::size_t kSocketBytes = 1536;
@@ -33,7 +34,7 @@
     std::string front;  // the one that it asked
     std::string cls, tenant, key;
     Micros aim = 0, patience = 0;  // from asked: wanted within; then it gives up
-    std::string detail;    // final: served, refused, or the name of the error
+    std::string detail;            // final: served, refused, or the name of the error
 };
 
 struct EngineRecord {
@@ -79,8 +80,8 @@
 std::string line_of(const Facts& f);
 SocketRecord record_of(const std::string& front, const net::TapEvent& e);
 
-// Reads lines of all kinds into `to`. A line cut short at the end of a file, as a killed process leaves it, is passed
-// over; anything else that can't be read is an error with its line.
+// Reads lines of all kinds into `to`. A line cut short at the end of a file, as a killed process leaves it,
+// is passed over; anything else that can't be read is an error with its line.
 Result<bool> read_records(const std::string& name, const std::string& text, Records& to);
 
 }  // namespace gatetiller::lab
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -1,9 +1,9 @@
-// net: the event loop as the rest of the program sees it: time, timers, listening, connecting and streams of bytes.
-// `PollLoop` (poll_loop.hpp) is the real one, on poll(2); a virtual network can stand in its place.
+// net: the event loop as the rest of the program sees it: time, timers, listening, connecting and streams of
+// bytes. `PollLoop` (poll_loop.hpp) is the real one, on poll(2); a virtual network can stand in its place.
 //
 // Everything runs on the loop's thread. Nothing here blocks and nothing throws. Whoever holds a Stream or a
-// Listener owns it: destroying it closes it at once, without a further call, and that is allowed anywhere, in its
-// own callbacks too.
+// Listener owns it: destroying it closes it at once, without a further call, and that is allowed anywhere, in
+// its own callbacks too.
 #pragma once
 
 #include <cstdint>
@@ -18,8 +18,8 @@
 
 namespace gatetiller::net {
 
-// Where something listens: "127.0.0.1:8080", "[::1]:8080", "localhost:8080", "unix:/run/x.sock". Names other than
-// localhost are not looked up: a look-up would hold up the loop.
+// Where something listens: "127.0.0.1:8080", "[::1]:8080", "localhost:8080", "unix:/run/x.sock". Names other
+// than localhost are not looked up: a look-up would hold up the loop.
 struct Address {
     enum class Family { ipv4, ipv6, local };
     Family family = Family::ipv4;
@@ -44,7 +44,7 @@
     virtual void on_connected() {}
     // Take from `in` what can be used. What is left is offered again along with more.
     virtual void on_data(Buffer& in) = 0;
-    virtual void on_sent() {}  // all that was given to send() has gone to the kernel
+    virtual void on_sent() {}                // all that was given to send() has gone to the kernel
     virtual void on_closed(Closed how) = 0;  // the last call
 };
 
@@ -52,12 +52,13 @@
 public:
     virtual ~Stream() = default;
     virtual void events(StreamEvents& to) = 0;  // who is told; must outlive the stream
-    virtual void send(std::string bytes) = 0;   // kept until the kernel takes it; look at unsent() for back-pressure
-    virtual std::size_t unsent() const = 0;     // bytes not yet taken by the kernel
-    // Off: bytes stay in the kernel's buffer and hold back the peer. An end of the connection is then noticed only
-    // where the kernel tells of a reset.
+    virtual void send(
+        std::string bytes) = 0;  // kept until the kernel takes it; look at unsent() for back-pressure
+    virtual std::size_t unsent() const = 0;  // bytes not yet taken by the kernel
+    // Off: bytes stay in the kernel's buffer and hold back the peer. An end of the connection is then noticed
+    // only where the kernel tells of a reset.
     virtual void read(bool on) = 0;
-    virtual void offer() = 0;                    // calls on_data once more soon, if bytes wait
+    virtual void offer() = 0;                     // calls on_data once more soon, if bytes wait
     virtual const std::string& peer() const = 0;  // address of the other side, for logs and limits
 };
 
@@ -72,16 +73,17 @@
 class Loop {
 public:
     virtual ~Loop() = default;
-    virtual Micros now() const = 0;   // monotonic; a step of the wall clock doesn't show
-    // How long at most what comes up in this turn can have waited unseen, because the process was busy or stood still.
-    // Whoever reckons with another side's time takes it off.
+    virtual Micros now() const = 0;  // monotonic; a step of the wall clock doesn't show
+    // How long at most what comes up in this turn can have waited unseen, because the process was busy or
+    // stood still. Whoever reckons with another side's time takes it off.
     virtual Micros unseen() const = 0;
     virtual Micros wall() const = 0;  // since 1970, for records and logs only
     virtual TimerId after(Micros delay, std::function<void()> call) = 0;
     virtual void cancel(TimerId timer) = 0;  // 0 and ids that have rung are passed over
     virtual Result<std::unique_ptr<Listener>> listen(
         const Address& at, std::function<void(std::unique_ptr<Stream>)> accepted) = 0;
-    // Never fails at once: what goes wrong comes as on_closed in a later turn. `time_out` is for connecting only.
+    // Never fails at once: what goes wrong comes as on_closed in a later turn. `time_out` is for connecting
+    // only.
     virtual std::unique_ptr<Stream> connect(const Address& to, StreamEvents& events, Micros time_out) = 0;
 };
 
--- a/src/net/poll_loop.cpp
+++ b/src/net/poll_loop.cpp
@@ -52,7 +52,8 @@
     char text[INET6_ADDRSTRLEN] = "";
     if (storage.ss_family == AF_INET) {
         const auto* in = reinterpret_cast<const sockaddr_in*>(&storage);
-        a = {Address::Family::ipv4, inet_ntop(AF_INET, &in->sin_addr, text, sizeof text), ntohs(in->sin_port)};
+        a = {Address::Family::ipv4, inet_ntop(AF_INET, &in->sin_addr, text, sizeof text),
+             ntohs(in->sin_port)};
     } else if (storage.ss_family == AF_INET6) {
         const auto* in = reinterpret_cast<const sockaddr_in6*>(&storage);
         a = {Address::Family::ipv6, inet_ntop(AF_INET6, &in->sin6_addr, text, sizeof text),
@@ -68,7 +69,8 @@
     return ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 }
 
-void no_delay(int fd) {  // small answers must not wait for an acknowledgement; fails on Unix sockets, harmlessly
+void no_delay(
+    int fd) {  // small answers must not wait for an acknowledgement; fails on Unix sockets, harmlessly
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
@@ -121,8 +123,9 @@
     }
     void read_in() {
         if (!reading || in.size() >= loop.limits_.input) {
-            // A stream that isn't read is still told of a reset. An end in order waits until it is read again,
-            // as bytes may stand before it; poll would report it in every turn, so it isn't asked meanwhile.
+            // A stream that isn't read is still told of a reset. An end in order waits until it is read
+            // again, as bytes may stand before it; poll would report it in every turn, so it isn't asked
+            // meanwhile.
             int error = 0;
             socklen_t size = sizeof error;
             getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
@@ -216,15 +219,16 @@
         for (int i = 0; i < loop.limits_.accepts && fd >= 0; ++i) {
             sockaddr_storage from{};
             socklen_t size = sizeof from;
-            const int got = ::accept4(fd, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            const int got =
+                ::accept4(fd, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (got < 0) {
                 if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) rest();
                 return;
             }
             no_delay(got);
             auto socket = std::make_shared<Socket>(loop, got);
-            socket->peer = address.family == Address::Family::local ? address.text()
-                                                                    : from_kernel(from, address).text();
+            socket->peer =
+                address.family == Address::Family::local ? address.text() : from_kernel(from, address).text();
             loop.watch(socket, POLLIN);
             accepted(std::make_unique<SocketStream>(std::move(socket)));
         }
@@ -244,7 +248,8 @@
     explicit DoorListener(std::shared_ptr<Door> door) : door_(std::move(door)) {}
     ~DoorListener() override {
         door_->loop.cancel(door_->resting);
-        if (door_->address.family == Address::Family::local && door_->fd >= 0) ::unlink(door_->address.host.c_str());
+        if (door_->address.family == Address::Family::local && door_->fd >= 0)
+            ::unlink(door_->address.host.c_str());
         door_->close();
     }
     const Address& address() const override { return door_->address; }
@@ -257,16 +262,15 @@
     using Watched::Watched;
     void on_ready(short) override {
         signalfd_siginfo info{};
-        while (fd >= 0 && ::read(fd, &info, sizeof info) == sizeof info) then(static_cast<int>(info.ssi_signo));
+        while (fd >= 0 && ::read(fd, &info, sizeof info) == sizeof info)
+            then(static_cast<int>(info.ssi_signo));
     }
     std::function<void(int)> then;
 };
 
 PollLoop::PollLoop() : PollLoop(Limits{}) {}
 
-PollLoop::PollLoop(Limits limits) : limits_(limits) {
-    refresh();
-}
+PollLoop::PollLoop(Limits limits) : limits_(limits) { refresh(); }
 
 PollLoop::~PollLoop() {
     while (!watched_.empty()) std::shared_ptr(watched_.back())->close();
@@ -392,7 +396,8 @@
 }
 
 void PollLoop::ring() {
-    // Only those due when the turn began: a timer of no delay that sets itself again must not hold up the loop.
+    // Only those due when the turn began: a timer of no delay that sets itself again must not hold up the
+    // loop.
     const TimerId newest = last_timer_;
     while (!due_.empty() && due_.begin()->first <= now_ && due_.begin()->second <= newest) {
         const TimerId id = due_.begin()->second;
@@ -420,8 +425,8 @@
         for (std::size_t i = 0, left = static_cast<std::size_t>(n); i < polled_.size() && left > 0; ++i)
             if (polled_[i].revents != 0) ready_.emplace_back(watched_[i], polled_[i].revents), --left;
     }
-    // What has come is heard before any timer rings: after a stall of this process, an answer that is already there
-    // must not lose against its time-out.
+    // What has come is heard before any timer rings: after a stall of this process, an answer that is already
+    // there must not lose against its time-out.
     for (const auto& socket : std::exchange(to_offer_, {})) {
         socket->offering = false;
         if (socket->fd >= 0) socket->deliver();
--- a/src/net/poll_loop.hpp
+++ b/src/net/poll_loop.hpp
@@ -1,5 +1,6 @@
 // The event loop on poll(2). One turn: what was sent in the last turn goes out, poll, what is ready, then
-// the timers that are due. Writes are gathered for a turn, so that several answers on one connection cost one system call.
+// the timers that are due. Writes are gathered for a turn, so that several answers on one connection cost one
+// system call.
 #pragma once
 
 #include <poll.h>
@@ -34,13 +35,13 @@
                                              std::function<void(std::unique_ptr<Stream>)> accepted) override;
     std::unique_ptr<Stream> connect(const Address& to, StreamEvents& events, Micros time_out) override;
 
-    // Calls `then` for each of these signals from the loop's turns. They are blocked for the whole process, so this
-    // comes before any thread starts.
+    // Calls `then` for each of these signals from the loop's turns. They are blocked for the whole process,
+    // so this comes before any thread starts.
     void on_signals(const std::vector<int>& signals, std::function<void(int)> then);
 
-    void run();                          // until stop()
-    void stop() { stopping_ = true; }    // after the present turn
-    void turn(Micros longest);           // one turn, waiting no longer than this
+    void run();                        // until stop()
+    void stop() { stopping_ = true; }  // after the present turn
+    void turn(Micros longest);         // one turn, waiting no longer than this
     std::size_t watched() const { return polled_.size(); }
     std::uint64_t turns() const { return turns_; }
 
--- a/src/net/tap.hpp
+++ b/src/net/tap.hpp
@@ -1,5 +1,6 @@
-// A loop that passes everything on to another and tells a sink what really went over its sockets: the records that the
-// rule checker reads. It sits below every protocol, so that no code above it can claim what did not happen.
+// A loop that passes everything on to another and tells a sink what really went over its sockets: the records
+// that the rule checker reads. It sits below every protocol, so that no code above it can claim what did not
+// happen.
 #pragma once
 
 #include "net/loop.hpp"
@@ -23,7 +24,9 @@
     Micros now() const override { return below_.now(); }
     Micros unseen() const override { return below_.unseen(); }
     Micros wall() const override { return below_.wall(); }
-    TimerId after(Micros delay, std::function<void()> call) override { return below_.after(delay, std::move(call)); }
+    TimerId after(Micros delay, std::function<void()> call) override {
+        return below_.after(delay, std::move(call));
+    }
     void cancel(TimerId timer) override { below_.cancel(timer); }
     Result<std::unique_ptr<Listener>> listen(const Address& at,
                                              std::function<void(std::unique_ptr<Stream>)> accepted) override;
--- a/src/roster/last_list.cpp
+++ b/src/roster/last_list.cpp
@@ -11,8 +11,14 @@
 Result<bool> keep_last_list(const std::string& file, const std::vector<config::EngineSettings>& list) {
     nlohmann::json engines = nlohmann::json::object();
     for (const auto& e : list)
-        engines[e.name] = {{"address", e.address.text()}, {"zone", e.zone}, {"kind", e.kind}, {"cell", e.cell}, {"share", e.share},
-                           {"state", e.state == EngineState::on ? "on" : e.state == EngineState::fading ? "fading" : "off"}};
+        engines[e.name] = {{"address", e.address.text()},
+                           {"zone", e.zone},
+                           {"kind", e.kind},
+                           {"cell", e.cell},
+                           {"share", e.share},
+                           {"state", e.state == EngineState::on       ? "on"
+                                     : e.state == EngineState::fading ? "fading"
+                                                                      : "off"}};
     const std::string beside = file + ".new";
     std::ofstream out(beside, std::ios::binary | std::ios::trunc);
     out << nlohmann::json{{"engines", std::move(engines)}}.dump(1) << "\n";
--- a/src/roster/last_list.hpp
+++ b/src/roster/last_list.hpp
@@ -1,6 +1,6 @@
-// The last list of engines that a front held, kept in a file for its next start: a front that comes back while the list's
-// source is out of reach begins with what it knew. A file that is missing, torn or of another make is passed over: the list
-// is a help, never a condition.
+// The last list of engines that a front held, kept in a file for its next start: a front that comes back
+// while the list's source is out of reach begins with what it knew. A file that is missing, torn or of
+// another make is passed over: the list is a help, never a condition.
 #pragma once
 
 #include <string>
