A ledger of every request's life that survives kills, full disks and torn writes

Need: settlement asks which team used the engines, and nothing of what ended is kept.

Change: src/decide/account (rows of requests and attempts, what became of them, why work served nobody), src/decide/ledger_keeper (what may still wait, when a broken store is tried again, gaps), src/store (SQLite in WAL mode with a checksum a row, a writer with a thread of its own and a bounded queue). `ledger: { file, flush, keep, waiting }` in the configuration, its state in /v1/status and /metrics.

Found on the way: the writer's thread took the process's signals, so that SIGTERM killed the front at once; it blocks them now, with a test of the program.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -42,11 +42,25 @@
         f.error.empty() ? "" : " error=" + json_string(f.error));
 }
 
-front::Deps deps_of(const config::FrontSettings& s, std::shared_ptr<spdlog::logger> log) {
+std::unique_ptr<store::LedgerWriter> ledger_of(const config::FrontSettings& s) {
+    if (s.ledger.file.empty()) return nullptr;
+    store::WriterSettings w;
+    w.file = s.ledger.file, w.front = s.name, w.life = entropy().substr(0, 16);
+    w.flush_every = s.ledger.flush_every, w.keep = s.ledger.keep, w.limits.waiting = s.ledger.waiting;
+    auto ledger = std::make_unique<store::LedgerWriter>(std::move(w));
+    ledger->start_thread();
+    return ledger;
+}
+
+front::Deps deps_of(const config::FrontSettings& s, std::shared_ptr<spdlog::logger> log,
+                    store::LedgerWriter* ledger = nullptr) {
     const std::string format = s.log.format;
-    return {entropy, s.seed.value_or(random_seed()),
+    return {entropy,
+            s.seed.value_or(random_seed()),
             [log, format](const std::string& t) { log->info(say(format, t)); },
-            [log, format](const front::Finished& f) { log->info(line_of(format, f)); }};
+            [log, format](const front::Finished& f) { log->info(line_of(format, f)); },
+            nullptr,
+            ledger};
 }
 
 int run_front(config::FrontSettings settings, const std::string& file, const Common& common) {
@@ -66,8 +80,9 @@
     net::TapLoop tapped(loop, [&](const net::TapEvent& e) {
         records << lab::line_of(lab::record_of(settings.name, e)) << std::flush;
     });
+    const auto ledger = ledger_of(settings);
     front::Front front(records.is_open() ? static_cast<net::Loop&>(tapped) : loop, settings,
-                       deps_of(settings, log));
+                       deps_of(settings, log, ledger.get()));
     loop.on_signals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
         if (signal != SIGHUP) return front.drain([&] { loop.stop(); });
         auto again = config::load_front(file);
@@ -83,6 +98,8 @@
     for (const auto& address : *bound) std::printf("http://%s\n", address.text().c_str());
     std::fflush(stdout);
     loop.run();
+    if (ledger)
+        for (const auto& text : ledger->finish(loop.now(), loop.wall())) log->warn(say(format, text));
     return 0;
 }
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -290,6 +290,15 @@
     top.flag("remote_drain", f.statements.remote_drain);
     top.text("environment", f.statements.environment);
     top.text("records", f.records);
+    top.object("ledger", [&](Reader& r) {
+        r.required({"file"});
+        r.text("file", f.ledger.file);
+        r.span("flush", f.ledger.flush_every);
+        r.span("keep", f.ledger.keep);
+        r.count("waiting", f.ledger.waiting, 1000, 1e8);
+        if (f.ledger.flush_every < kMillisecond || f.ledger.flush_every > 10 * kSecondMicros)
+            r.wrong("flush", "must be between 1ms and 10s: it is what a killed front may lose");
+    });
     top.object("log", [&](Reader& r) {
         r.word<std::string>(
             "level", f.log.level,
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -42,6 +42,13 @@
     std::string format = "text";
 };
 
+struct LedgerSettings {
+    std::string file{};                       // empty: no ledger is kept
+    Micros flush_every = 100 * kMillisecond;  // what a killed front may lose, with the commit's time
+    Micros keep = 0;                          // closed requests are removed after so long; 0: never
+    std::size_t waiting = 200'000;            // rows that may wait for a slow or broken disk
+};
+
 struct FrontSettings {
     std::string name = "front";
     std::vector<net::Address> listen;
@@ -59,6 +66,7 @@
     Micros drain_patience = 30 * kSecondMicros;  // after SIGTERM
     std::string records;  // file to which every message on the sockets is recorded; empty: none
     LogSettings log;
+    LedgerSettings ledger;
 };
 
 class Reader;
--- /dev/null
+++ b/src/decide/ledger_keeper.hpp
@@ -0,0 +1,98 @@
+// How a front keeps its ledger while its store is slow or broken: what is still written down, when the store
+// is tried again, and which stretch of time a gap stands for. A small state machine with no I/O: whoever
+// drives it says what happened, and when.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/time.hpp"
+
+namespace gatetiller::decide {
+
+enum class StoreTrouble : std::uint8_t {
+    none,
+    full,       // no room on the disk
+    read_only,  // the file or the disk may not be written
+    corrupt,    // the file is damaged
+    locked,     // another process keeps this ledger
+    no_access,  // it can't be opened
+    io,         // reading or writing fails
+    lagging,    // the store is too slow: more came than may wait
+    killed,     // the front ended without closing it (only in gaps)
+    foreign,    // the file is not a ledger, or one of a later version
+};
+const char* name_of(StoreTrouble trouble);
+
+// A stretch of time in which the ledger is not whole.
+struct Gap {
+    StoreTrouble cause = StoreTrouble::none;
+    Micros from = 0, to = 0;                 // wall clock
+    std::int64_t requests = 0, updates = 0;  // requests never written; ends of written ones lost. -1: unknown
+};
+
+struct KeeperLimits {
+    std::size_t waiting = 200'000;  // rows in the queue or in a batch that is being tried
+    double new_share = 0.75;        // of it for new requests; the rest is for what written ones come to
+    Micros try_again = 250 * kMillisecond, try_again_most = 5 * kSecondMicros;
+    Micros say_again = 60 * kSecondMicros;  // a trouble that stays is told again after so long
+};
+
+// On the loop's side: may this row wait? What may not is counted, and told as a gap once the store is well.
+class Intake {
+public:
+    explicit Intake(KeeperLimits limits) : limits_(limits) {}
+    // A new request. False: it is not in the ledger at all, and none of its rows may be offered.
+    bool admit(std::size_t waiting, Micros wall);
+    // A row of a request that was admitted.
+    bool update(std::size_t waiting, Micros wall);
+    // The store has caught up with everything that was admitted before: what was lost until here is over.
+    std::optional<Gap> take_gap(std::size_t waiting, StoreTrouble cause);
+    bool losing() const { return gap_.has_value(); }
+    std::int64_t lost() const { return lost_; }  // rows in all
+
+private:
+    void lose(Micros wall, bool request);
+    KeeperLimits limits_;
+    std::optional<Gap> gap_;
+    std::int64_t lost_ = 0;
+};
+
+// On the store's side: what to do next.
+class Keeper {
+public:
+    enum class Do { open, write, wait, set_aside };
+    explicit Keeper(KeeperLimits limits) : limits_(limits), pause_(limits.try_again) {}
+
+    Do next(Micros now) const;
+    void opened();
+    void written();  // a batch was committed
+    // Opening or writing failed. True: to be said aloud now.
+    bool failed(StoreTrouble trouble, Micros now);
+    void was_set_aside();  // the damaged file is out of the way
+    // Whether rows that failed with this trouble are worth keeping for another try: always, except where the
+    // rows themselves can't be written.
+    StoreTrouble trouble() const { return trouble_; }
+    bool well() const { return trouble_ == StoreTrouble::none; }
+    Micros again_at() const { return again_at_; }
+
+private:
+    KeeperLimits limits_;
+    bool open_ = false;
+    StoreTrouble trouble_ = StoreTrouble::none;
+    Micros pause_, again_at_ = 0, said_at_ = 0;
+};
+
+// Tells a step of the wall clock from the passing of time.
+class ClockWatch {
+public:
+    // How far the wall clock stepped since the last look; nothing where it went along.
+    std::optional<Micros> look(Micros now, Micros wall);
+
+private:
+    static constexpr Micros kNoticed = 200 * kMillisecond;
+    std::optional<Micros> difference_;
+};
+
+}  // namespace gatetiller::decide
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -35,6 +35,18 @@
     return d;
 }
 
+decide::RequestState state_of(Ended ended) {
+    switch (ended) {
+        case Ended::served: return decide::RequestState::served;
+        case Ended::refused: return decide::RequestState::refused;
+        case Ended::failed: return decide::RequestState::failed;
+        case Ended::cut: return decide::RequestState::cut;
+        case Ended::cancelled: return decide::RequestState::cancelled;
+        case Ended::abandoned: return decide::RequestState::abandoned;
+    }
+    return decide::RequestState::failed;
+}
+
 std::vector<std::string> tenant_names(const Settings& s) {
     std::vector<std::string> names;
     for (const auto& t : s.tenants) names.push_back(t.name);
@@ -66,6 +78,9 @@
     decide::Notes notes;
     net::TimerId timer = 0;
     bool over = false, ever_ran = false;
+    decide::AttemptFacts facts;
+    std::int64_t row_bytes = 0;
+    std::string engine_id, engine_name, engine_kind;
     statement::Stats stats;
     std::string columns;
     std::optional<Report> report;
@@ -75,6 +90,7 @@
     std::string id;
     statement::Submission submission;
     decide::Routed routed;
+    std::uint32_t number = 0;  // in the ledger's order of taking
     Micros arrived = 0, deadline = 0, first_sent = 0, ended_at = 0;
     std::vector<std::unique_ptr<Attempt>> attempts;
     double grant_mb = 0;
@@ -83,6 +99,7 @@
     Ended ended = Ended::failed;
     Outcome last = Outcome::skipped;
     std::string last_error, last_engine;
+    std::optional<decide::RequestRow> row;  // where the ledger has it
     statement::Stats stats;
 
     Attempt* out() { return life.out() ? attempts.back().get() : nullptr; }
@@ -104,6 +121,7 @@
               [this](http::Request& r, http::Server::Reply reply) { handle(r, std::move(reply)); }) {}
 
 Front::~Front() {
+    loop_.cancel(ledger_timer_);
     loop_.cancel(drain_timer_);
     loop_.cancel(free_timer_);
     for (const auto& [name, timer] : bells_) loop_.cancel(timer);
@@ -118,12 +136,14 @@
     }
     for (const Action& action : brain_.start()) carry_out(action);
     engines_.start();
+    if (deps_.ledger) look_in_ledger();
     return bound;
 }
 
 void Front::handle(http::Request& request, http::Server::Reply reply) {
     if (statements_.handle(request, reply)) return;
     if (request.target == "/metrics" && request.method == "GET") {
+        if (deps_.ledger) metrics_.ledger(deps_.ledger->status());
         http::Response r{200,
                          {},
                          metrics_.page({static_cast<double>(running_.size()),
@@ -180,6 +200,15 @@
              left, std::nullopt,  c.memory_estimate / kMega, r->routed.group,
              false};
     if (c.cpu_estimate > 0) d.cost = c.cpu_estimate;
+    if (deps_.ledger) {
+        decide::RequestRow row;
+        row.who = std::make_shared<const decide::Who>(decide::Who{
+            c.user, c.source, decide::tags_without(c.tags, r->routed.key), r->routed.cls, r->routed.tenant});
+        row.id = id, row.key = r->routed.key, row.taken = loop_.wall();
+        if (cls->effect == Effect::by_key) row.key_window = cls->window;
+        if (deps_.ledger->taken(row, row.taken)) r->row = std::move(row);
+        r->number = row.number;
+    }
     r->submission = std::move(s);
     metrics_.taken(r->routed.cls);
     running_.emplace(id, std::move(r));
@@ -242,6 +271,13 @@
                r.stats.spilled_bytes};
     metrics_.finished(f);
     if (deps_.finished) deps_.finished(f);
+    if (r.row) {
+        r.row->state = state_of(r.ended);
+        r.row->error = r.ended == Ended::served && !r.last_error.empty();
+        r.row->attempts = static_cast<std::uint32_t>(r.attempts.size());
+        r.row->ended_after = ended - r.arrived, r.row->closed_after = now - r.arrived;
+        deps_.ledger->update(*r.row, loop_.wall());
+    }
     if (r.life.freeable()) free_later(r.id);
 }
 
@@ -266,6 +302,14 @@
     return s;
 }
 
+std::string Front::ledger_member() const {
+    if (!deps_.ledger) return "";
+    const auto s = deps_.ledger->status();
+    return ",\"ledger\":{\"state\":" +
+           statement::json_string(s.trouble == decide::StoreTrouble::none ? "written" : name_of(s.trouble)) +
+           ",\"waiting\":" + std::to_string(s.waiting) + ",\"lost\":" + std::to_string(s.lost) + "}";
+}
+
 std::string Front::status_members() {
     std::string engines;
     for (const auto& [number, e] : engines_.all()) {
@@ -283,7 +327,7 @@
            std::to_string(running_.size()) +
            ",\"waitingBytes\":" + std::to_string(statements_.waiting_in_all()) +
            ",\"connections\":" + std::to_string(server_.connections()) +
-           ",\"alpha\":" + std::to_string(brain_.alpha());
+           ",\"alpha\":" + std::to_string(brain_.alpha()) + ledger_member();
 }
 
 // ---- Events of the module, and its actions
@@ -373,14 +417,19 @@
     if (r->first_sent == 0) r->first_sent = a.sent;
     Engine* engine = engines_.find(action.engine);
     if (!engine) return complete(a, Outcome::econnrefused, false);
-    r->last_engine = engine->settings.name;
+    r->last_engine = a.engine_name = engine->settings.name;
+    a.engine_kind = engine->settings.kind;
     const Micros limit =
         action.time_out > 0 ? std::min(action.time_out, r->deadline - a.sent) : r->deadline - a.sent;
     // The engine stops by itself at the deadline, whatever becomes of this front.
     std::map<std::string, std::string> set{{"query_max_run_time", session_span(limit)}};
     if (r->grant_mb > 0) set["query_max_memory"] = std::to_string(std::llround(r->grant_mb)) + "MB";
     if (settings_.module.priorities) set["query_priority"] = std::to_string(r->priority);
-    auto headers = statement::engine_headers(r->submission.context, set);
+    std::string tag;
+    if (deps_.ledger)
+        tag = decide::tag_of({deps_.ledger->life(), r->number, static_cast<std::uint32_t>(a.number)});
+    auto headers = statement::engine_headers(r->submission.context, set, tag);
+    note_attempt(a, decide::AttemptState::out);
     headers.add("User-Agent", "gatetiller/" + settings_.name);
     a.timer = loop_.after(limit, [this, &a] {
         a.timer = 0;
@@ -410,6 +459,8 @@
     if (outcome != Outcome::skipped) r.life.take(Happening::attempt_over);
     r.last = outcome;
     metrics_.attempt(outcome);
+    a.facts.outcome = outcome;
+    note_attempt(a, decide::state_of(a.facts));
     Completed c{r.id, a.number, a.engine, outcome, loop_.now() - a.sent, finished, 0, 0, a.report};
     if (outcome == Outcome::done && settings_.module.cost_in_answers) {
         c.work_ms = static_cast<double>(a.stats.cpu_ms);
@@ -426,6 +477,8 @@
     if (a.over) return;
     if (auto report = statement::read_report(headers)) a.report = report;
     a.stats = r.stats = d.stats;
+    a.engine_id = d.id;
+    a.row_bytes += static_cast<std::int64_t>(d.data.size());
     a.ever_ran = a.ever_ran || d.stats.cpu_ms > 0 || d.has_rows() || d.stats.state == "RUNNING" ||
                  d.stats.state == "FINISHING";
     if (!d.columns.empty()) a.columns = d.columns;
@@ -477,11 +530,15 @@
                         const http::Headers& headers) {
     Running& r = a.running;
     const auto verdict = decide::judge(how);
+    using How = decide::AttemptEnd::How;
+    a.facts.document = how.how == How::answered;
+    a.facts.connected = how.how != How::not_sent && how.how != How::connect_late;
     if (d.error) r.last_error = d.error->message;
     if (verdict.for_client && !r.life.finished()) {
         if (d.columns.empty()) d.columns = a.columns;
         r.life.take(Happening::answer);
         r.ended = Ended::served, r.ended_at = loop_.now();
+        a.facts.for_client = true;
         complete(a, verdict.outcome, true);
         http::Headers passed;
         statement::pass_response_headers(headers, passed);
@@ -502,6 +559,30 @@
     }
 }
 
+// ---- The ledger
+
+void Front::note_attempt(const Attempt& a, decide::AttemptState state) {
+    const Running& r = a.running;
+    if (!r.row) return;
+    decide::AttemptRow row;
+    row.request = r.number, row.number = static_cast<std::uint32_t>(a.number);
+    row.engine = a.engine_name, row.kind = a.engine_kind, row.engine_id = a.engine_id;
+    row.state = state;
+    row.sent_after = a.sent - r.arrived;
+    if (a.over) row.ended_after = loop_.now() - r.arrived;
+    row.grant_bytes = std::llround(r.grant_mb * kMega);
+    row.work = a.stats.cpu_ms * kMillisecond;
+    row.peak_bytes = a.stats.peak_memory_bytes, row.spilled_bytes = a.stats.spilled_bytes;
+    row.row_bytes = a.row_bytes;
+    row.whole = a.facts.document;
+    deps_.ledger->update(std::move(row), loop_.wall());
+}
+
+void Front::look_in_ledger() {
+    for (const auto& text : deps_.ledger->look(loop_.now(), loop_.wall())) deps_.log(text);
+    ledger_timer_ = loop_.after(deps_.ledger->flush_every(), [this] { look_in_ledger(); });
+}
+
 // ---- Operating it
 
 void Front::reload(const config::FrontSettings& s) {
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -16,6 +16,7 @@
 #include "decide/patience.hpp"
 #include "front/engines.hpp"
 #include "front/metrics.hpp"
+#include "store/writer.hpp"
 
 namespace gatetiller::front {
 
@@ -26,6 +27,7 @@
     std::function<void(const Finished&)> finished;  // one call for each finished statement
     // For tests that break a front on purpose: true keeps an event from the module. Absent in service.
     std::function<bool(const Event&)> drop_event = nullptr;
+    store::LedgerWriter* ledger = nullptr;  // not owned, outlives the front; none: nothing is kept
 };
 
 class Front final : public statement::Backend {
@@ -74,6 +76,9 @@
     void finish(Running& r);
     void free_later(const std::string& id);
     void finish_drain();
+    void note_attempt(const Attempt& a, decide::AttemptState state);
+    void look_in_ledger();
+    std::string ledger_member() const;
     Running* find(const std::string& id);
 
     net::Loop& loop_;
@@ -91,7 +96,7 @@
     std::vector<std::string> to_free_;
     bool posting_ = false, draining_ = false, drain_over_ = false;
     std::function<void()> drained_;
-    net::TimerId drain_timer_ = 0, free_timer_ = 0;
+    net::TimerId drain_timer_ = 0, free_timer_ = 0, ledger_timer_ = 0;
     std::map<std::int64_t, net::TimerId> bells_;
     std::int64_t last_bell_ = 0;
 };
--- a/src/front/metrics.cpp
+++ b/src/front/metrics.cpp
@@ -55,7 +55,8 @@
                    .Register(*registry_)),
       gauges_(prometheus::BuildGauge()
                   .Name("gatetiller_now")
-                  .Help("Statements in hand, bytes of rows waiting, connections, alpha, finished ones kept.")
+                  .Help("Statements in hand, bytes of rows waiting, connections, alpha, finished ones kept, "
+                        "the ledger's state.")
                   .Register(*registry_)) {}
 
 void Metrics::taken(const std::string& cls) { taken_.Add({{"class", cls}}).Increment(); }
@@ -67,6 +68,15 @@
     seconds_.Add({{"class", f.cls}}, kSeconds).Observe(static_cast<double>(f.total) / kSecondMicros);
 }
 
+void Metrics::ledger(const store::WriterStatus& s) {
+    gauges_.Add({{"what", "ledger_written"}}).Set(s.trouble == decide::StoreTrouble::none ? 1 : 0);
+    gauges_.Add({{"what", "ledger_rows_waiting"}}).Set(static_cast<double>(s.waiting));
+    gauges_.Add({{"what", "ledger_rows_lost"}}).Set(static_cast<double>(s.lost));
+    gauges_.Add({{"what", "ledger_rows_committed"}}).Set(static_cast<double>(s.committed));
+    gauges_.Add({{"what", "ledger_written_until_seconds"}})
+        .Set(static_cast<double>(s.written_until) / kSecondMicros);
+}
+
 std::string Metrics::page(const Now& now) {
     gauges_.Add({{"what", "statements"}}).Set(now.statements);
     gauges_.Add({{"what", "waiting_bytes"}}).Set(now.waiting_bytes);
--- a/src/front/metrics.hpp
+++ b/src/front/metrics.hpp
@@ -12,6 +12,7 @@
 
 #include "base/time.hpp"
 #include "policy/brain.hpp"
+#include "store/writer.hpp"
 
 namespace gatetiller::front {
 
@@ -46,6 +47,7 @@
     struct Now {
         double statements, waiting_bytes, connections, alpha, kept;
     };
+    void ledger(const store::WriterStatus& status);
     std::string page(const Now& now);
 
 private:
--- a/src/statement/context.cpp
+++ b/src/statement/context.cpp
@@ -106,11 +106,20 @@
     return c;
 }
 
-http::Headers engine_headers(const Context& context, const std::map<std::string, std::string>& set) {
+http::Headers engine_headers(const Context& context, const std::map<std::string, std::string>& set,
+                             const std::string& tag) {
     http::Headers out;
     std::string session;
     for (const auto& [key, value] : context.passed)
-        if (!same_word(key, context.prefix + "Session")) out.add(key, value);
+        if (!same_word(key, context.prefix + "Session") &&
+            (tag.empty() || !same_word(key, context.prefix + "Client-Tags")))
+            out.add(key, value);
+    if (!tag.empty()) {
+        std::string tags = tag;
+        for (const auto& t : context.tags)
+            if (!t.starts_with(tag.substr(0, tag.find('=') + 1))) tags += "," + t;
+        out.add(context.prefix + "Client-Tags", tags);
+    }
     auto all = context.session;
     for (const auto& [name, value] : set) all[name] = value;
     for (const auto& [name, value] : all)
--- /dev/null
+++ b/src/store/writer.cpp
@@ -0,0 +1,224 @@
+#include "store/writer.hpp"
+
+#include <csignal>
+#include <filesystem>
+
+namespace gatetiller::store {
+namespace {
+
+constexpr Micros kTouchEvery = kSecondMicros;  // the life's "written until", while nothing happens
+constexpr int kExpireAtOnce = 2000;
+
+void append(Batch& to, Batch& from) {
+    const auto move = [](auto& a, auto& b) {
+        if (a.empty()) std::swap(a, b);
+        else a.insert(a.end(), std::make_move_iterator(b.begin()), std::make_move_iterator(b.end()));
+        b.clear();
+    };
+    move(to.rows, from.rows);
+    move(to.gaps, from.gaps);
+    move(to.clock_steps, from.clock_steps);
+    to.wall = from.wall;
+}
+
+}  // namespace
+
+LedgerWriter::LedgerWriter(WriterSettings settings)
+    : settings_(std::move(settings)), intake_(settings_.limits), keeper_(settings_.limits) {}
+
+LedgerWriter::~LedgerWriter() {
+    {
+        const std::lock_guard guard(mutex_);
+        stop_ = true;
+    }
+    handed_over_.notify_one();
+    if (thread_.joinable()) thread_.join();
+}
+
+// ---- The loop's side
+
+bool LedgerWriter::taken(RequestRow& row, Micros wall) {
+    row.number = ++last_number_;
+    if (!intake_.admit(queue_.size() + in_hand_, wall)) return false;
+    queue_.emplace_back(row);
+    return true;
+}
+
+void LedgerWriter::update(RequestRow row, Micros wall) {
+    if (intake_.update(queue_.size() + in_hand_, wall)) queue_.emplace_back(std::move(row));
+}
+
+void LedgerWriter::update(AttemptRow row, Micros wall) {
+    if (intake_.update(queue_.size() + in_hand_, wall)) queue_.emplace_back(std::move(row));
+}
+
+std::vector<std::string> LedgerWriter::look(Micros now, Micros wall) {
+    std::vector<std::string> words;
+    {
+        const std::lock_guard guard(mutex_);
+        Batch next;
+        next.rows = std::move(queue_);
+        queue_.clear();
+        queue_.reserve(next.rows.size());
+        if (const auto step = clock_.look(now, wall)) {
+            next.clock_steps.emplace_back(wall, *step);
+            words_.push_back("ledger: the wall clock stepped by " + std::to_string(*step / kMillisecond) +
+                             " ms; times before and after stand as they were read");
+        }
+        if (trouble_ == decide::StoreTrouble::none)
+            if (const auto gap = intake_.take_gap(in_hand_, last_trouble_)) {
+                next.gaps.push_back(*gap);
+                words_.push_back("ledger: a gap: " + std::to_string(gap->requests) +
+                                 " requests were not written, and " + std::to_string(gap->updates) +
+                                 " updates of written ones (" + name_of(gap->cause) + ")");
+            }
+        next.wall = wall;
+        in_hand_ += next.rows.size();
+        append(shared_, next);
+        shared_now_ = now;
+        work_ = true;
+    }
+    if (thread_.joinable()) handed_over_.notify_one();
+    else turn(now);
+    const std::lock_guard guard(mutex_);
+    words.swap(words_);
+    return words;
+}
+
+WriterStatus LedgerWriter::status() const {
+    const std::lock_guard guard(mutex_);
+    return {trouble_, queue_.size() + in_hand_, intake_.lost(), committed_, batches_, written_until_};
+}
+
+void LedgerWriter::start_thread() {
+    // Signals are the loop's: a thread that doesn't block them would take them in its place.
+    sigset_t all, before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
+    thread_ = std::thread([this] { serve(); });
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+}
+
+std::vector<std::string> LedgerWriter::finish(Micros now, Micros wall) {
+    auto words = look(now, wall);
+    {
+        const std::lock_guard guard(mutex_);
+        stop_ = true;
+    }
+    handed_over_.notify_one();
+    if (thread_.joinable()) thread_.join();
+    // Here alone now. A store in trouble gets one more try.
+    turn(std::max(now, keeper_.again_at()));
+    if (pending_.rows.empty() && ledger_.is_open()) {
+        if (const auto f = ledger_.end_life(wall)) say("ledger: " + f.text);
+    } else if (!pending_.rows.empty()) {
+        say("ledger: " + std::to_string(pending_.rows.size()) + " rows could not be written and are lost");
+    }
+    ledger_.close();
+    lock_.release();
+    words.insert(words.end(), words_.begin(), words_.end());
+    words_.clear();
+    return words;
+}
+
+// ---- The store's side
+
+void LedgerWriter::say(std::string text) {
+    const std::lock_guard guard(mutex_);
+    words_.push_back(std::move(text));
+}
+
+void LedgerWriter::serve() {
+    for (;;) {
+        Micros now = 0;
+        {
+            std::unique_lock guard(mutex_);
+            handed_over_.wait(guard, [this] { return work_ || stop_; });
+            if (stop_) return;
+            work_ = false, now = shared_now_;
+        }
+        turn(now);
+    }
+}
+
+void LedgerWriter::turn(Micros now) {
+    {
+        const std::lock_guard guard(mutex_);
+        if (shared_.wall > 0) append(pending_, shared_);
+    }
+    using Do = decide::Keeper::Do;
+    for (;;) {
+        switch (keeper_.next(now)) {
+            case Do::wait: return;
+            case Do::set_aside: set_aside(now); continue;
+            case Do::open:
+                if (const auto f = open()) return failed(f, now);
+                keeper_.opened();
+                continue;
+            case Do::write: break;
+        }
+        break;
+    }
+    const bool was_well = keeper_.well();
+    if (pending_.rows.empty() && pending_.gaps.empty() && pending_.clock_steps.empty() && was_well &&
+        now - touched_ < kTouchEvery)
+        return;
+    if (const auto f = ledger_.write(pending_)) return failed(f, now);
+    keeper_.written();
+    touched_ = now;
+    if (!was_well) say("ledger: written again");
+    {
+        const std::lock_guard guard(mutex_);
+        committed_ += static_cast<std::int64_t>(pending_.rows.size());
+        batches_ += 1;
+        written_until_ = pending_.wall;
+        in_hand_ -= pending_.rows.size();
+        trouble_ = decide::StoreTrouble::none;
+    }
+    std::int64_t removed = 0;
+    if (settings_.keep > 0)
+        if (const auto f = ledger_.expire(pending_.wall - settings_.keep, kExpireAtOnce, removed))
+            say("ledger: old rows could not be removed: " + f.text);
+    pending_.rows.clear(), pending_.gaps.clear(), pending_.clock_steps.clear();
+}
+
+Failure LedgerWriter::open() {
+    ledger_.close();
+    if (auto f = lock_.take(settings_.file)) return f;
+    if (auto f = ledger_.open(settings_.file, {settings_.vfs})) return f;
+    Taken taken;
+    if (auto f = ledger_.begin_life(settings_.life, settings_.front, pending_.wall, taken)) return f;
+    if (taken.requests_interrupted + taken.attempts_interrupted > 0 || taken.killed)
+        say("ledger: the life before was not ended in order: " + std::to_string(taken.requests_interrupted) +
+            " requests and " + std::to_string(taken.attempts_interrupted) +
+            " attempts in hand are marked as interrupted");
+    return {};
+}
+
+void LedgerWriter::failed(const Failure& f, Micros now) {
+    Failure what = f;
+    // Only a ledger is moved out of the way; with any other file the operator has a say.
+    if (what.trouble == StoreTrouble::corrupt && !looks_like_ledger(settings_.file))
+        what.trouble = StoreTrouble::foreign;
+    if (keeper_.failed(what.trouble, now))
+        say(std::string("ledger NOT WRITTEN (") + name_of(what.trouble) + "): " + what.text +
+            "; statements go on, " + std::to_string(pending_.rows.size()) + " rows wait");
+    const std::lock_guard guard(mutex_);
+    trouble_ = last_trouble_ = what.trouble;
+}
+
+void LedgerWriter::set_aside(Micros now) {
+    ledger_.close();
+    std::error_code error;
+    std::string to;
+    do to = settings_.file + ".corrupt-" + std::to_string(++aside_);
+    while (std::filesystem::exists(to, error));
+    for (const char* part : {"", "-wal", "-shm"})
+        if (std::filesystem::exists(settings_.file + part, error))
+            std::filesystem::rename(settings_.file + part, to + part, error);
+    if (error) return failed({StoreTrouble::io, settings_.file + ": " + error.message()}, now);
+    say("ledger: the damaged file is set aside as " + to + ", a new one begins; give both to the report");
+    keeper_.was_set_aside();
+}
+
+}  // namespace gatetiller::store
--- /dev/null
+++ b/src/store/writer.hpp
@@ -0,0 +1,93 @@
+// Keeps a front's ledger without holding up its loop. The loop's side offers rows, which cost a copy, and
+// looks in at its pace; the store's side writes what was handed over, a batch at a time, on a thread of its
+// own, or within look() where no thread was started (tests, virtual time). Time comes from the loop alone.
+//
+// Bounded: more than `limits.waiting` rows never wait. What doesn't fit is counted and stands in the ledger
+// as a gap once the store is well. Lag: a row is handed over within `flush_every`; a killed front loses what
+// had not been committed by then, and its next life writes down the stretch in which that may have happened.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "store/ledger.hpp"
+
+namespace gatetiller::store {
+
+struct WriterSettings {
+    std::string file, front;
+    std::string life;  // 16 hex digits that nobody has had before
+    Micros flush_every = 100 * kMillisecond;
+    Micros keep = 0;  // closed requests are removed after so long; 0: never
+    decide::KeeperLimits limits;
+    std::string vfs{};
+};
+
+struct WriterStatus {
+    decide::StoreTrouble trouble = decide::StoreTrouble::none;
+    std::size_t waiting = 0;
+    std::int64_t lost = 0, committed = 0, batches = 0;
+    Micros written_until = 0;  // wall clock
+};
+
+class LedgerWriter {
+public:
+    explicit LedgerWriter(WriterSettings settings);
+    ~LedgerWriter();  // as a kill: what waits is not written
+    LedgerWriter(const LedgerWriter&) = delete;
+    LedgerWriter& operator=(const LedgerWriter&) = delete;
+
+    // ---- The loop's side
+    const std::string& life() const { return settings_.life; }
+    Micros flush_every() const { return settings_.flush_every; }
+    // The request's number is set. False: the ledger is full up, and this request will not be in it.
+    bool taken(RequestRow& row, Micros wall);
+    void update(RequestRow row, Micros wall);
+    void update(AttemptRow row, Micros wall);
+    // Hands over what waits. What an operator should read comes back, a text each.
+    std::vector<std::string> look(Micros now, Micros wall);
+    WriterStatus status() const;
+    void start_thread();
+    // Writes what waits, marks the life as ended in order, lets go of the file. What could not be written is
+    // told.
+    std::vector<std::string> finish(Micros now, Micros wall);
+
+private:
+    void turn(Micros now);  // the store's side, one go
+    Failure open();
+    void set_aside(Micros now);
+    void failed(const Failure& f, Micros now);
+    void say(std::string text);
+    void serve();  // the thread
+
+    WriterSettings settings_;
+    // The loop's side alone
+    decide::Intake intake_;
+    decide::ClockWatch clock_;
+    std::vector<std::variant<RequestRow, AttemptRow>> queue_;
+    std::uint32_t last_number_ = 0;
+
+    mutable std::mutex mutex_;
+    std::condition_variable handed_over_;
+    Batch shared_;  // under the mutex, as all until here
+    Micros shared_now_ = 0;
+    std::vector<std::string> words_;
+    bool work_ = false, stop_ = false;
+    decide::StoreTrouble trouble_ = decide::StoreTrouble::none, last_trouble_ = decide::StoreTrouble::none;
+    std::int64_t committed_ = 0, batches_ = 0;
+    Micros written_until_ = 0;
+    std::atomic<std::size_t> in_hand_ = 0;  // rows that the store's side holds, with those in shared_
+
+    // The store's side alone
+    decide::Keeper keeper_;
+    FileLock lock_;
+    Ledger ledger_;
+    Batch pending_;
+    Micros touched_ = 0;
+    int aside_ = 0;
+    std::thread thread_;
+};
+
+}  // namespace gatetiller::store
--- a/tests/cli/program_test.cpp
+++ b/tests/cli/program_test.cpp
@@ -41,7 +41,8 @@
     std::string front(const std::string& engine, const std::string& route) const {
         return "local g = import 'gatetiller.libsonnet'; g.front('f') { classes: { short: g.class('1s', "
                "'9s') }, kinds: { std: g.kind(8, '16GiB') }, engines: { e: g.engine('" +
-               engine.substr(7) + "') }, routes: [" + route + "], roster: { watch_every: '20ms' } }";
+               engine.substr(7) + "') }, routes: [" + route +
+               "], roster: { watch_every: '20ms' }, ledger: { file: '" + file("ledger") + "' } }";
     }
 };
 
@@ -107,5 +108,37 @@
         EXPECT_NE(text.find(part), std::string::npos) << part << " in " << text;
 }
 
+// A ledger with its own thread: SIGTERM still reaches the loop, and only a killed life leaves a mark.
+TEST_F(ProgramTest, ALedgerTellsAnOrderlyEndFromAKilling) {
+    write("engine.jsonnet", "{ machine: { cores: 4 } }");
+    auto engine = start("engine", "engine.jsonnet");
+    write("front.jsonnet", front(engine.first_line(), "g.route('short')"));
+    const auto log = [&] {
+        std::ifstream in(file("front.jsonnet") + ".log");
+        return std::string((std::istreambuf_iterator<char>(in)), {});
+    };
+    const auto served_once = [&](lab::Process& front) {
+        return run("query --server " + front.first_line() + " 'SELECT 1 /* gt: work_ms=1 rows=2 */'").code ==
+               0;
+    };
+    for (int i = 0; i < 2; ++i) {
+        auto served = start("serve", "front.jsonnet");
+        EXPECT_TRUE(served_once(served));
+        served.terminate();
+        ASSERT_TRUE(served.wait(kPatience));
+    }
+    EXPECT_EQ(log().find("not ended in order"), std::string::npos) << log();
+    {
+        auto served = start("serve", "front.jsonnet");
+        EXPECT_TRUE(served_once(served));
+        served.kill();
+    }
+    auto served = start("serve", "front.jsonnet");
+    EXPECT_TRUE(served_once(served));
+    served.terminate();
+    ASSERT_TRUE(served.wait(kPatience));
+    EXPECT_NE(log().find("not ended in order"), std::string::npos) << log();
+}
+
 }  // namespace
 }  // namespace gatetiller
--- a/tests/front/whole.hpp
+++ b/tests/front/whole.hpp
@@ -107,7 +107,7 @@
         auto f = std::make_unique<front::Front>(
             tap_, settings,
             front::Deps{[this] { return random_.hex(32); }, 7, [](const std::string&) {},
-                        [this](const front::Finished& done) { finished.push_back(done); }, drop_event});
+                        [this](const front::Finished& done) { finished.push_back(done); }, drop_event, ledger});
         auto bound = f->start();
         if (!bound) throw std::runtime_error(bound.error());
         settings.listen = {bound->front()};
@@ -207,6 +207,7 @@
     SteppedLoop clock{loop};
     config::FrontSettings settings;
     std::function<bool(const Event&)> drop_event;  // true: the module never hears of it
+    store::LedgerWriter* ledger = nullptr;
     lab::Records records;
     std::vector<engine::Entry> journal;
     std::vector<front::Finished> finished;
--- /dev/null
+++ b/tests/store/fault_vfs.hpp
@@ -0,0 +1,174 @@
+// A layer under SQLite that fails the n-th write, sync, truncation or deletion, or "loses power" there: the
+// write in progress is torn, nothing more gets through, and what was never synced may be gone, in part, in
+// any order.
+#pragma once
+
+#include <sqlite3.h>
+
+#include <algorithm>
+#include <cstring>
+#include <fstream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/random.hpp"
+
+namespace gatetiller::testing {
+
+class FaultVfs {
+public:
+    explicit FaultVfs(std::string name, std::uint64_t seed) : random(seed), name_(std::move(name)) {
+        below_ = sqlite3_vfs_find(nullptr);
+        vfs_ = *below_;
+        vfs_.szOsFile = static_cast<int>(sizeof(File)) + below_->szOsFile;
+        vfs_.zName = name_.c_str();
+        vfs_.pAppData = this;
+        vfs_.xOpen = open;
+        vfs_.xDelete = remove;
+        vfs_.xAccess = [](sqlite3_vfs* v, const char* n, int f, int* out) {
+            auto* b = self(v).below_;
+            return b->xAccess(b, n, f, out);
+        };
+        vfs_.xFullPathname = [](sqlite3_vfs* v, const char* n, int size, char* out) {
+            auto* b = self(v).below_;
+            return b->xFullPathname(b, n, size, out);
+        };
+        sqlite3_vfs_register(&vfs_, 0);
+    }
+    ~FaultVfs() { sqlite3_vfs_unregister(&vfs_); }
+    FaultVfs(const FaultVfs&) = delete;
+    FaultVfs& operator=(const FaultVfs&) = delete;
+
+    // After all connections are closed: what was written since a file's last sync is there or not.
+    void lose_unsynced() {
+        for (auto& [file, undo] : unsynced_) {
+            std::fstream f(file, std::ios::in | std::ios::out | std::ios::binary);
+            if (!f) continue;
+            for (auto u = undo.rbegin(); u != undo.rend(); ++u)
+                if (random.chance(0.5)) {
+                    f.seekp(u->at);
+                    f.write(u->before.data(), static_cast<std::streamsize>(u->before.size()));
+                }
+        }
+        unsynced_.clear();
+    }
+    void well() { fail_at = crash_at = -1, failures = 0, crashed = false; }
+
+    long operations = 0;
+    long fail_at = -1;  // from this operation on ...
+    int failures = 0;   // ... so many fail
+    int code = SQLITE_IOERR_WRITE;
+    long crash_at = -1;
+    bool crashed = false;
+    Random random;
+
+private:
+    struct File {
+        sqlite3_file base;
+        FaultVfs* vfs;
+        char name[512];
+        sqlite3_file* real() { return reinterpret_cast<sqlite3_file*>(this + 1); }
+    };
+    struct Undo {
+        sqlite3_int64 at;
+        std::string before;
+    };
+    static FaultVfs& self(sqlite3_vfs* v) { return *static_cast<FaultVfs*>(v->pAppData); }
+    static File& file(sqlite3_file* f) { return *reinterpret_cast<File*>(f); }
+
+    // One operation that changes something. Not SQLITE_OK: it fails so. Sets `torn` where power is lost in
+    // it.
+    int count(bool& torn) {
+        if (crashed) return SQLITE_IOERR;
+        const long n = operations++;
+        if (crash_at >= 0 && n >= crash_at) return torn = crashed = true, SQLITE_IOERR;
+        if (fail_at >= 0 && n >= fail_at && failures > 0) return --failures, code;
+        return SQLITE_OK;
+    }
+    static int open(sqlite3_vfs* v, sqlite3_filename n, sqlite3_file* f, int flags, int* out) {
+        auto& me = self(v);
+        File& mine = file(f);
+        mine.base.pMethods = nullptr;
+        mine.vfs = &me;
+        std::snprintf(mine.name, sizeof mine.name, "%s", n ? n : "");
+        if (me.crashed) return SQLITE_IOERR;
+        const int rc = me.below_->xOpen(me.below_, n, mine.real(), flags, out);
+        if (rc == SQLITE_OK) mine.base.pMethods = methods();
+        return rc;
+    }
+    static int remove(sqlite3_vfs* v, const char* n, int sync) {
+        bool torn = false;
+        auto& me = self(v);
+        if (const int rc = me.count(torn)) return rc;
+        me.unsynced_.erase(n);
+        return me.below_->xDelete(me.below_, n, sync);
+    }
+    static int write(sqlite3_file* f, const void* bytes, int size, sqlite3_int64 at) {
+        File& mine = file(f);
+        FaultVfs& me = *mine.vfs;
+        bool torn = false;
+        const int rc = me.count(torn);
+        if (rc != SQLITE_OK && !torn) return rc;
+        const int n = torn ? static_cast<int>(me.random.below(static_cast<std::uint64_t>(size) + 1)) : size;
+        sqlite3_int64 length = 0;
+        mine.real()->pMethods->xFileSize(mine.real(), &length);
+        const auto old = static_cast<int>(std::clamp<sqlite3_int64>(length - at, 0, n));
+        Undo u{at, std::string(static_cast<std::size_t>(n), '\0')};  // beyond the end: zeros, as a hole reads
+        if (old > 0) mine.real()->pMethods->xRead(mine.real(), u.before.data(), old, at);
+        me.unsynced_[mine.name].push_back(std::move(u));
+        const int wrote = n > 0 ? mine.real()->pMethods->xWrite(mine.real(), bytes, n, at) : SQLITE_OK;
+        return torn ? rc : wrote;
+    }
+    static const sqlite3_io_methods* methods() {
+        static const sqlite3_io_methods kMethods = {
+            2,
+            [](sqlite3_file* f) { return file(f).real()->pMethods->xClose(file(f).real()); },
+            [](sqlite3_file* f, void* to, int n, sqlite3_int64 at) {
+                return file(f).real()->pMethods->xRead(file(f).real(), to, n, at);
+            },
+            write,
+            [](sqlite3_file* f, sqlite3_int64 size) {
+                bool torn = false;
+                if (const int rc = file(f).vfs->count(torn)) return rc;
+                return file(f).real()->pMethods->xTruncate(file(f).real(), size);
+            },
+            [](sqlite3_file* f, int flags) {
+                bool torn = false;
+                if (const int rc = file(f).vfs->count(torn)) return rc;
+                file(f).vfs->unsynced_.erase(file(f).name);
+                return file(f).real()->pMethods->xSync(file(f).real(), flags);
+            },
+            [](sqlite3_file* f, sqlite3_int64* size) {
+                return file(f).real()->pMethods->xFileSize(file(f).real(), size);
+            },
+            [](sqlite3_file* f, int l) { return file(f).real()->pMethods->xLock(file(f).real(), l); },
+            [](sqlite3_file* f, int l) { return file(f).real()->pMethods->xUnlock(file(f).real(), l); },
+            [](sqlite3_file* f, int* out) {
+                return file(f).real()->pMethods->xCheckReservedLock(file(f).real(), out);
+            },
+            [](sqlite3_file* f, int op, void* arg) {
+                return file(f).real()->pMethods->xFileControl(file(f).real(), op, arg);
+            },
+            [](sqlite3_file* f) { return file(f).real()->pMethods->xSectorSize(file(f).real()); },
+            [](sqlite3_file* f) { return file(f).real()->pMethods->xDeviceCharacteristics(file(f).real()); },
+            [](sqlite3_file* f, int page, int size, int extend, void volatile** to) {
+                return file(f).real()->pMethods->xShmMap(file(f).real(), page, size, extend, to);
+            },
+            [](sqlite3_file* f, int offset, int n, int flags) {
+                return file(f).real()->pMethods->xShmLock(file(f).real(), offset, n, flags);
+            },
+            [](sqlite3_file* f) { file(f).real()->pMethods->xShmBarrier(file(f).real()); },
+            [](sqlite3_file* f, int del) { return file(f).real()->pMethods->xShmUnmap(file(f).real(), del); },
+            nullptr,
+            nullptr};
+        return &kMethods;
+    }
+
+    std::string name_;
+    sqlite3_vfs* below_ = nullptr;
+    sqlite3_vfs vfs_{};
+    std::map<std::string, std::vector<Undo>> unsynced_;
+};
+
+}  // namespace gatetiller::testing
