Ledgers and engines' journals are collected and settled, query by query

Need: an attempt whose answer was lost, whose engine or front died, cost work that no front saw.

Change: statement/completed reads and writes the published query-completed event; the stand-in engine tells it (`events` in its configuration), also of work that goes on after a cancel that it doesn't heed. decide/settle gives every attempt and every logged query one named finding, with the work to charge and why it served nobody; store/books collects any number of ledgers and journals, in any order and several times over, by what is known.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -114,10 +114,17 @@
     net::PollLoop loop;
     std::ofstream journal;
     if (!settings->journal.empty()) journal.open(settings->journal, std::ios::app);
-    engine::Service service(loop, *settings, entropy, [&](const engine::Entry& e) {
-        if (journal.is_open())
-            journal << lab::line_of(settings->name, e) << std::flush;  // a killed engine's must be whole
-    });
+    std::ofstream events;
+    if (!settings->events.empty()) events.open(settings->events, std::ios::app);
+    // Flushed line by line: a killed engine's must be whole.
+    engine::Service service(
+        loop, *settings, entropy,
+        [&](const engine::Entry& e) {
+            if (journal.is_open()) journal << lab::line_of(settings->name, e) << std::flush;
+        },
+        [&](const statement::Completed& e) {
+            if (events.is_open()) events << statement::write_completed(e) << "\n" << std::flush;
+        });
     loop.on_signals({SIGTERM, SIGINT}, [&](int) { loop.stop(); });
     auto bound = service.start();
     if (!bound) {
--- /dev/null
+++ b/src/decide/settle.cpp
@@ -0,0 +1,101 @@
+#include "decide/settle.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+#include "base/text.hpp"
+
+namespace gatetiller::decide {
+
+const char* name_of(Finding f) {
+    constexpr const char* kNames[kFindings] = {"agreed",        "unseen_end",   "never_ran",    "unlogged",
+                                               "in_gap",        "other_life",   "direct",       "differs",
+                                               "journal_lacks", "ledger_lacks", "ran_after_all"};
+    return kNames[static_cast<int>(f)];
+}
+
+bool explained(Finding f) { return f < Finding::differs; }
+
+Settled settle(const RequestRow& r, const AttemptRow& a, const std::vector<LoggedQuery>& logged) {
+    Settled s;
+    s.waste = waste_of(r, a);
+    s.seen = a.work;
+    const bool never = a.state == AttemptState::turned_away || a.state == AttemptState::unreachable ||
+                       a.state == AttemptState::not_sent;
+    if (logged.empty()) {
+        s.work = a.work, s.peak_bytes = a.peak_bytes, s.spilled_bytes = a.spilled_bytes;
+        s.finding = never ? Finding::never_ran : a.whole ? Finding::journal_lacks : Finding::unlogged;
+        return s;
+    }
+    s.logged = true;
+    Micros ended = 0;
+    for (const LoggedQuery& q : logged) {
+        s.work += q.work, s.spilled_bytes += q.spilled_bytes;
+        s.peak_bytes = std::max(s.peak_bytes, q.peak_bytes);
+        ended = std::max(ended, q.ended - q.created);
+    }
+    if (never) {
+        // An engine that refuses a query in its queue logs it all the same, with nothing done.
+        s.finding = s.work == 0 ? Finding::never_ran : Finding::ran_after_all;
+        return s;
+    }
+    if (a.whole) {
+        // The protocol tells milliseconds; the journal is finer, and counts.
+        const bool same = s.work / kMillisecond == a.work / kMillisecond &&
+                          s.spilled_bytes == a.spilled_bytes && s.peak_bytes == a.peak_bytes;
+        s.finding = same ? Finding::agreed : Finding::differs;
+        return s;
+    }
+    s.finding = Finding::unseen_end;
+    const bool left = r.state == RequestState::cancelled || r.state == RequestState::abandoned;
+    if (left && a.sent_after + ended > r.ended_after) s.after_leaving = std::max<Micros>(0, s.work - a.work);
+    return s;
+}
+
+Settled settle_alone(const LoggedQuery& q, const LifeRecord* life) {
+    Settled s;
+    s.logged = true;
+    s.waste = Waste::unrecorded;
+    s.work = q.work, s.peak_bytes = q.peak_bytes, s.spilled_bytes = q.spilled_bytes;
+    if (!q.name) {
+        s.finding = Finding::direct;
+        s.waste = Waste::none;  // whom it served is not ours to say
+        return s;
+    }
+    if (!life) {
+        s.finding = Finding::other_life;
+        return s;
+    }
+    const bool covered = std::any_of(life->gaps.begin(), life->gaps.end(), [&](const Gap& g) {
+        return q.created >= g.from - life->clock_slack && q.created <= g.to + life->clock_slack;
+    });
+    s.finding = covered ? Finding::in_gap : Finding::ledger_lacks;
+    return s;
+}
+
+void Repeats::add(const RequestRow& r, std::uint32_t life) {
+    if (r.key.empty() || r.key_window <= 0) return;
+    keyed_.push_back({hash_of(r.key, hash_of(r.who->tenant, hash_of(r.who->cls))), r.taken, r.key_window,
+                      std::uint64_t{life} << 32 | r.number});
+}
+
+void Repeats::finish() {
+    std::sort(keyed_.begin(), keyed_.end(), [](const Keyed& a, const Keyed& b) {
+        return std::tie(a.key, a.taken, a.request) < std::tie(b.key, b.taken, b.request);
+    });
+    for (std::size_t i = 0, first = 0; i < keyed_.size(); ++i) {
+        if (keyed_[i].key != keyed_[first].key ||
+            keyed_[i].taken - keyed_[first].taken > keyed_[first].window)
+            first = i;
+        if (first != i) repeats_.push_back(keyed_[i].request);
+    }
+    keyed_.clear();
+    keyed_.shrink_to_fit();
+    std::sort(repeats_.begin(), repeats_.end());
+}
+
+bool Repeats::repeat(std::uint32_t life, std::uint32_t number) const {
+    return std::binary_search(repeats_.begin(), repeats_.end(), std::uint64_t{life} << 32 | number);
+}
+
+}  // namespace gatetiller::decide
--- /dev/null
+++ b/src/decide/settle.hpp
@@ -0,0 +1,82 @@
+// Settling accounts: what fronts wrote down of an attempt against what the engine logged of it. Every attempt
+// and every logged query comes to one finding, with the work to be charged and where that figure is from.
+#pragma once
+
+#include <array>
+#include <vector>
+
+#include "decide/account.hpp"
+#include "decide/ledger_keeper.hpp"
+
+namespace gatetiller::decide {
+
+// One query as an engine's journal has it.
+struct LoggedQuery {
+    std::optional<AttemptName> name;  // from its tag; none: it did not come through a front with a ledger
+    std::string engine, id, user, source, tags, error;
+    Micros created = 0, ended = 0;  // by the engine's clock
+    Micros work = 0;
+    std::int64_t peak_bytes = 0, spilled_bytes = 0, row_bytes = 0;
+};
+
+enum class Finding : std::uint8_t {
+    agreed,      // both sides have its end, with the same figures
+    unseen_end,  // the front stopped looking before the engine was done: the engine's figures count
+    never_ran,   // the front knows that it never ran, and no journal has it
+    unlogged,    // it was out when connection, engine or front was lost; no journal has it
+    in_gap,      // logged, and missing from the ledger, which states a gap there
+    other_life,  // logged under the name of a front's life of which no ledger was given
+    direct,      // logged, and not sent through a front that keeps a ledger
+    // What should not be. Each is a fault of a journal, of a ledger or of this program.
+    differs,        // both sides have its end, with different figures
+    journal_lacks,  // the front saw its end, and no journal has it
+    ledger_lacks,   // logged, and missing from a ledger that states no gap there
+    ran_after_all,  // the front took it for never run, and the engine logged work
+};
+constexpr int kFindings = 11;
+const char* name_of(Finding finding);
+bool explained(Finding finding);
+
+struct Settled {
+    Finding finding = Finding::agreed;
+    Waste waste = Waste::none;
+    Micros work = 0;  // to be charged
+    std::int64_t peak_bytes = 0, spilled_bytes = 0;
+    Micros seen = 0;  // of the work, as the front had it
+    bool logged = false;
+    // Of the work, done where the client had left already, as far as it is known: what the engine logged
+    // beyond the front's last sight of it, by an end after the leaving.
+    Micros after_leaving = 0;
+};
+
+// An attempt of the ledger, with what journals have of it (none, mostly one; more where an engine logged
+// twice).
+Settled settle(const RequestRow& request, const AttemptRow& attempt, const std::vector<LoggedQuery>& logged);
+
+// What a ledger says of its own wholeness, for queries that it lacks.
+struct LifeRecord {
+    std::vector<Gap> gaps;
+    Micros clock_slack = 5 * kSecondMicros;  // between an engine's clock and the front's, and for its steps
+};
+// A logged query that no ledger row answers to. `life`: none where no ledger of that life was given.
+Settled settle_alone(const LoggedQuery& logged, const LifeRecord* life);
+
+// Repeats: requests of one tenant and class with the same key, within the window of the first of them.
+// Add all, in any order; then finish; then ask.
+class Repeats {
+public:
+    void add(const RequestRow& request, std::uint32_t life);
+    void finish();
+    bool repeat(std::uint32_t life, std::uint32_t number) const;
+
+private:
+    struct Keyed {
+        std::uint64_t key = 0;
+        Micros taken = 0, window = 0;
+        std::uint64_t request = 0;
+    };
+    std::vector<Keyed> keyed_;
+    std::vector<std::uint64_t> repeats_;  // sorted
+};
+
+}  // namespace gatetiller::decide
--- a/src/engine/config.cpp
+++ b/src/engine/config.cpp
@@ -50,6 +50,7 @@
     top.span("abandoned_after", s.abandoned_after);
     top.flag("reports", s.reports);
     top.text("journal", s.journal);
+    top.text("events", s.events);
     top.count("seed", s.seed, 0, 9e15);
     top.close();
     if (!mistakes.none()) return Error{mistakes.text()};
--- a/src/engine/model.cpp
+++ b/src/engine/model.cpp
@@ -183,7 +183,8 @@
                 ++it;
                 continue;
             }
-            if (!r.unseen) ended_.emplace_back(it->first, view_of(r));
+            ended_.emplace_back(it->first, view_of(r));
+            ended_.back().second.unseen = r.unseen;
             granted_ = std::max(0.0, granted_ - r.granted);
             it = jobs_.erase(it);
             freed = true;
--- a/src/engine/model.hpp
+++ b/src/engine/model.hpp
@@ -54,6 +54,7 @@
 struct View {
     Phase phase = Phase::running;
     double progress = 0, work_done = 0, spilled_mb = 0, peak_mb = 0;
+    bool unseen = false;  // called off before, and went on to its end all the same
 };
 
 class Machine {
--- a/src/engine/service.cpp
+++ b/src/engine/service.cpp
@@ -58,16 +58,18 @@
     bool ended = false, lost = false, told_spill = false;
     View last;
     std::size_t next_row = 0;
-    Micros taken = 0;
+    Micros taken = 0, taken_wall = 0;
     net::TimerId limit = 0;
 };
 
 Service::Service(net::Loop& loop, ServiceSettings settings, std::function<std::string()> entropy,
-                 std::function<void(const Entry&)> journal)
+                 std::function<void(const Entry&)> journal,
+                 std::function<void(const statement::Completed&)> completed)
     : loop_(loop),
       settings_(std::move(settings)),
       entropy_(std::move(entropy)),
       journal_(std::move(journal)),
+      completed_(std::move(completed)),
       random_(settings_.seed) {}
 
 Service::~Service() {
@@ -106,6 +108,7 @@
     }
     running_.clear();
     jobs_.clear();
+    heedless_.clear();
     loop_.cancel(std::exchange(timer_, 0));
     server_->stop_listening();
     server_->break_all();
@@ -153,6 +156,27 @@
     journal_(e);
 }
 
+// What an engine's own listener tells of a query once it is over. One that dies tells nothing of those it
+// had.
+void Service::tell_completed(const Running& r, const std::string& id, const char* error) {
+    if (!completed_) return;
+    const auto& c = r.submission.context;
+    statement::Completed e;
+    e.id = id, e.state = *error ? "FAILED" : "FINISHED";
+    e.user = c.user, e.source = c.source, e.trace_token = c.trace_token, e.tags = c.tags;
+    e.user_agent = "gatetiller/" + r.front, e.server = settings_.name, e.environment = "standin";
+    e.cpu = static_cast<Micros>(r.last.work_done);
+    e.wall = loop_.now() - r.taken;
+    e.peak_memory_bytes = static_cast<std::int64_t>(r.last.peak_mb * 1048576);
+    e.spilled_bytes = static_cast<std::int64_t>(r.last.spilled_mb * 1048576);
+    if (*error) {
+        const auto named = statement::error_named(error, "");
+        e.error_name = named.name, e.error_type = named.type;
+    }
+    e.created = r.taken_wall, e.ended = e.created + e.wall;
+    completed_(e);
+}
+
 std::string Service::front_of(const http::Request& request) const {
     const auto agent = request.headers.find("User-Agent").value_or("");
     return std::string(agent.starts_with("gatetiller/") ? agent.substr(11) : agent);
@@ -206,7 +230,7 @@
 
 std::optional<http::Response> Service::submit(const std::string& id, statement::Submission s) {
     Running r;
-    r.front = asking_, r.taken = loop_.now();
+    r.front = asking_, r.taken = loop_.now(), r.taken_wall = loop_.wall();
     r.submission = std::move(s);
     const auto& c = r.submission.context;
     note("received", &r, id);
@@ -238,6 +262,8 @@
         job.priority = to_number<int>(priority->second).value_or(1);
     if (random_.chance(faults_.fast_errors)) {
         note("error", &r, id);
+        tell_completed(r, id, "GENERIC_INTERNAL_ERROR");
+        r.ended = true;
         running_.emplace(id, std::move(r));
         loop_.after(0, [this, id] { fail(id, "GENERIC_INTERNAL_ERROR", "a fault on command"); });
         return std::nullopt;
@@ -255,6 +281,7 @@
             return statement::text_response(503, "fallen over");
         case Taken::repeat:
             note("repeat", &r, id);
+            tell_completed(r, id, "");
             r.ended = true;
             running_.emplace(id, std::move(r));
             loop_.after(0, [this, id] {
@@ -290,6 +317,11 @@
 
 void Service::on_ended() {
     for (const auto& [job, view] : machine_->take_ended()) {
+        if (auto gone = heedless_.extract(job)) {
+            gone.mapped().second.last = view;
+            tell_completed(gone.mapped().second, gone.mapped().first, "USER_CANCELED");
+        }
+        if (view.unseen) continue;
         const auto found = jobs_.find(job);
         if (found == jobs_.end()) continue;
         const std::string id = found->second;
@@ -298,6 +330,7 @@
         loop_.cancel(std::exchange(r.limit, 0));
         r.ended = true, r.last = view;
         note("finished", &r, id);
+        tell_completed(r, id, r.hints.fail.c_str());
         if (r.lost) continue;  // its answer never comes
         if (!r.hints.fail.empty()) fail(id, r.hints.fail.c_str(), "as the statement asked");
         else give_page(id, r);
@@ -348,6 +381,9 @@
     jobs_.erase(r.job);
     machine_->cancel(loop_.now(), r.job);
     note(event, &r, id);
+    if (settings_.machine.cancel_stops)
+        tell_completed(r, id, event == std::string_view("late") ? "EXCEEDED_TIME_LIMIT" : "USER_CANCELED");
+    else heedless_.emplace(r.job, std::pair(id, r));
     on_ended();
     arm();
 }
--- a/src/engine/service.hpp
+++ b/src/engine/service.hpp
@@ -10,6 +10,7 @@
 
 #include "engine/model.hpp"
 #include "http/server.hpp"
+#include "statement/completed.hpp"
 #include "statement/server.hpp"
 
 namespace gatetiller::engine {
@@ -40,6 +41,7 @@
     Micros abandoned_after = 10 * kSecondMicros;
     bool reports = true;  // load reports in a header of every answer
     std::string journal;  // file; empty: none
+    std::string events;   // file of query-completed events; empty: none
     std::uint64_t seed = 1;
 };
 
@@ -69,7 +71,8 @@
 class Service final : public statement::Backend {
 public:
     Service(net::Loop& loop, ServiceSettings settings, std::function<std::string()> entropy,
-            std::function<void(const Entry&)> journal);
+            std::function<void(const Entry&)> journal,
+            std::function<void(const statement::Completed&)> completed = nullptr);
     ~Service() override;
     Service(const Service&) = delete;
     Service& operator=(const Service&) = delete;
@@ -101,6 +104,7 @@
     void give_page(const std::string& id, Running& r);
     void fail(const std::string& id, const char* name, const std::string& message);
     void stop(const std::string& id, const char* event);
+    void tell_completed(const Running& r, const std::string& id, const char* error);
     void note(const char* event, const Running* r, const std::string& id);
     std::string front_of(const http::Request& request) const;
 
@@ -108,6 +112,7 @@
     ServiceSettings settings_;
     std::function<std::string()> entropy_;
     std::function<void(const Entry&)> journal_;
+    std::function<void(const statement::Completed&)> completed_;
     Faults faults_;
     Random random_;
     bool draining_ = false;
@@ -118,6 +123,7 @@
     net::Address bound_;
     std::map<std::string, Running> running_;
     std::map<Machine::JobId, std::string> jobs_;
+    std::map<Machine::JobId, std::pair<std::string, Running>> heedless_;  // called off, and still at work
     std::vector<http::Server::Reply> ignored_;
     std::deque<std::pair<Micros, Report>> reports_;  // of the last while, where they are told late
     net::TimerId timer_ = 0;
--- a/src/store/ledger.cpp
+++ b/src/store/ledger.cpp
@@ -43,7 +43,7 @@
        CREATE TABLE clock_steps(life INTEGER, at INTEGER, by INTEGER, UNIQUE(life, at, by)))",
     R"(CREATE TABLE events(life TEXT, request INTEGER, attempt INTEGER, engine TEXT, id TEXT, user TEXT,
          source TEXT, tags TEXT, created INTEGER, ended INTEGER, work INTEGER, peak_bytes INTEGER,
-         spilled_bytes INTEGER, row_bytes INTEGER, error TEXT, sum INTEGER,
+         spilled_bytes INTEGER, row_bytes INTEGER, error TEXT,
          PRIMARY KEY(life, request, attempt, engine, id)) WITHOUT ROWID;
        CREATE TABLE versions(row INTEGER PRIMARY KEY, period TEXT, made INTEGER, digest TEXT, report TEXT))",
 };
@@ -446,58 +446,66 @@
 
 namespace {
 
-// A cursor over a table in the order of its key that gets past pages which can't be read: it goes on behind
-// the last key that was, further and further until rows come again.
+// A cursor over one life's rows of a table in the order of its key that gets past pages which can't be read:
+// it goes on behind the last key that was, further and further until rows come again.
 class Cursor {
 public:
-    Cursor(Db& db, const std::string& table, const std::string& key, std::function<void(std::string)> damaged)
-        : db_(db), table_(table), key_(key), damaged_(std::move(damaged)) {
-        start(0);
+    Cursor(Db& db, const std::string& table, const std::string& key,
+           const std::function<void(std::string)>& damaged)
+        : db_(db),
+          table_(table),
+          statement_(db.prepare("SELECT * FROM " + table + " WHERE " + key + ">? AND " + key +
+                                "<? ORDER BY " + key + (key == "row" ? "" : ",number"))),
+          damaged_(damaged) {}
+    void start(const Life& life) {
+        life_ = &life;
+        at_ = life.row << kLifeShift, end_ = (life.row + 1) << kLifeShift, step_ = 1;
+        lost_from_.reset();
+        from(at_);
+        next();
     }
-    bool next() {
-        for (;;) {
+    bool there() const { return there_; }
+    std::int64_t key() const { return at_; }
+    Statement& row() { return statement_; }
+    void next() {
+        for (there_ = true;;) {
             if (statement_.step()) {
-                if (lost_from_) tell(statement_.number(0));
-                at_ = statement_.number(0);
-                step_ = 1;
-                return true;
+                const std::int64_t key = statement_.number(0);
+                if (lost_from_) tell(key);
+                at_ = key, step_ = 1;
+                return;
             }
-            if (!statement_.failure()) {
-                if (lost_from_) tell(-1);
-                return false;
+            const bool failed = static_cast<bool>(statement_.failure());
+            if (failed && !lost_from_) lost_from_ = at_;
+            if (!failed || *lost_from_ + step_ >= end_) {
+                if (lost_from_) tell(end_);
+                there_ = false;
+                return;
             }
-            if (!lost_from_) lost_from_ = at_;
-            if (step_ > (std::int64_t{1} << 48)) {
-                tell(-1);
-                return false;
-            }
-            start(*lost_from_ + step_);
+            from(*lost_from_ + step_);
             step_ *= 2;
         }
     }
-    Statement& row() { return statement_; }
 
 private:
-    void start(std::int64_t from) {
-        statement_ = db_.prepare("SELECT * FROM " + table_ + " WHERE " + key_ + ">? ORDER BY " + key_ +
-                                 (key_ == "row" ? "" : ",number"));
-        statement_.bind(0, from);
+    void from(std::int64_t key) {
+        statement_.reset();
+        statement_.bind(0, key).bind(1, end_);
     }
     void tell(std::int64_t until) {
-        const auto place = [](std::int64_t key) {
-            return "life " + std::to_string(key >> kLifeShift) + " number " +
-                   std::to_string(key & 0xffffffff);
-        };
-        damaged_(table_ + ": unreadable from behind " + place(*lost_from_) +
-                 (until < 0 ? " to the end" : " to before " + place(until)));
+        damaged_(table_ + ": unreadable in life " + life_->name + " from behind number " +
+                 std::to_string(*lost_from_ & 0xffffffff) +
+                 (until == end_ ? " to its end" : " to before " + std::to_string(until & 0xffffffff)));
         lost_from_.reset();
     }
     Db& db_;
-    std::string table_, key_;
-    std::function<void(std::string)> damaged_;
+    std::string table_;
     Statement statement_;
-    std::int64_t at_ = 0, step_ = 1;
+    const std::function<void(std::string)>& damaged_;
+    const Life* life_ = nullptr;
+    std::int64_t at_ = 0, end_ = 0, step_ = 1;
     std::optional<std::int64_t> lost_from_;
+    bool there_ = false;
 };
 
 }  // namespace
@@ -506,34 +514,32 @@
                      const std::function<void(std::string)>& damaged) {
     std::vector<Life> all;
     if (auto f = lives(all)) return f;
-    std::map<std::int64_t, const Life*> by_row;
-    for (const Life& l : all) by_row[l.row] = &l;
+    std::sort(all.begin(), all.end(), [](const Life& a, const Life& b) { return a.name < b.name; });
     Cursor requests(db_, "requests", "row", damaged), attempts(db_, "attempts", "request", damaged);
-    bool more = attempts.next();
     Whole w;
-    const auto place = [&](std::int64_t key) {
-        const auto life = by_row.find(key >> kLifeShift);
-        return (life == by_row.end() ? "life " + std::to_string(key >> kLifeShift) : life->second->name) +
-               "." + std::to_string(key & 0xffffffff);
-    };
-    while (requests.next()) {
-        const std::int64_t key = requests.row().number(0);
-        const auto life = by_row.find(key >> kLifeShift);
-        w.life = life == by_row.end() ? nullptr : life->second;
-        w.attempts.clear();
-        const bool sound = read_request(requests.row(), w.request) && w.life;
-        for (; more && attempts.row().number(0) <= key; more = attempts.next()) {
-            if (attempts.row().number(0) < key) {
-                damaged("attempts: one of " + place(attempts.row().number(0)) +
-                        ", whose request is not there");
-                continue;
+    for (const Life& life : all) {
+        w.life = &life;
+        const auto place = [&](std::int64_t key) {
+            return life.name + "." + std::to_string(key & 0xffffffff);
+        };
+        const auto orphan = [&] {
+            damaged("attempts: one of " + place(attempts.key()) + ", whose request is not there");
+        };
+        attempts.start(life);
+        for (requests.start(life); requests.there(); requests.next()) {
+            const std::int64_t key = requests.key();
+            w.attempts.clear();
+            const bool sound = read_request(requests.row(), w.request);
+            for (; attempts.there() && attempts.key() <= key; attempts.next()) {
+                AttemptRow a;
+                if (attempts.key() < key) orphan();
+                else if (read_attempt(attempts.row(), a)) w.attempts.push_back(std::move(a));
+                else damaged("attempts: a row of " + place(key) + " does not match its checksum");
             }
-            AttemptRow a;
-            if (read_attempt(attempts.row(), a)) w.attempts.push_back(std::move(a));
-            else damaged("attempts: a row of " + place(key) + " does not match its checksum");
+            if (sound) row(w);
+            else damaged("requests: the row of " + place(key) + " does not match its checksum");
         }
-        if (sound) row(w);
-        else damaged("requests: the row of " + place(key) + " does not match its checksum");
+        for (; attempts.there(); attempts.next()) orphan();
     }
     return {};
 }
--- a/src/store/ledger.hpp
+++ b/src/store/ledger.hpp
@@ -70,8 +70,9 @@
     Failure expire(Micros wall, int most, std::int64_t& removed);
     Failure snapshot(const std::string& file);
 
-    // All requests in the order of lives and numbers. What cannot be read (a damaged page, a row that does
-    // not match its checksum) is passed over and told to `damaged` with what is known of its place.
+    // All requests in the order of their lives' names and their numbers, whatever order they came in. What
+    // cannot be read (a damaged page, a row that does not match its checksum) is passed over and told to
+    // `damaged` with what is known of its place.
     Failure each(const std::function<void(const Whole&)>& row,
                  const std::function<void(std::string)>& damaged);
     Failure lives(std::vector<Life>& to);
--- a/src/store/writer.hpp
+++ b/src/store/writer.hpp
@@ -21,7 +21,7 @@
     std::string life;  // 16 hex digits that nobody has had before
     Micros flush_every = 100 * kMillisecond;
     Micros keep = 0;  // closed requests are removed after so long; 0: never
-    decide::KeeperLimits limits;
+    decide::KeeperLimits limits{};
     std::string vfs{};
 };
 
--- /dev/null
+++ b/tests/front/ledger_test.cpp
@@ -0,0 +1,209 @@
+// The ledger against the engines' own journals: through faults, leaving clients and killed fronts, each query
+// and each attempt comes to a named finding, and the work charged is the work logged.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <sstream>
+
+#include "front/whole.hpp"
+#include "store/books.hpp"
+
+namespace gatetiller::testing {
+namespace {
+
+using decide::AttemptState;
+using decide::Finding;
+using decide::RequestState;
+using decide::Waste;
+
+class LedgerTest : public ::testing::Test {
+protected:
+    LedgerTest() {
+        std::filesystem::remove_all(folder);
+        std::filesystem::create_directories(folder);
+    }
+    ~LedgerTest() override { std::filesystem::remove_all(folder); }
+
+    void keep(Whole& w, int life) {
+        store::WriterSettings s;
+        s.file = folder + "/front.ledger", s.front = "tested";
+        s.life = "00000000000000" + std::to_string(10 + life), s.flush_every = 20 * kMillisecond;
+        writer = std::make_unique<store::LedgerWriter>(s);
+        w.ledger = writer.get();
+    }
+    struct Settlement {
+        std::map<Finding, int> findings;
+        std::map<Waste, Micros> work;
+        Micros charged = 0, logged = 0, after_leaving = 0;
+        std::map<std::string, store::Whole> by_id;
+        std::vector<std::string> troubles;
+        store::Collected ledger, journal;
+    };
+    Settlement settle(const std::string& events) {
+        Settlement s;
+        store::Books books;
+        const std::string file = folder + "/books-" + std::to_string(++books_);
+        if (auto f = books.open(file)) ADD_FAILURE() << f.text;
+        auto ledger = books.collect_ledger(folder + "/front.ledger");
+        if (!ledger) ADD_FAILURE() << ledger.error();
+        std::istringstream lines(events);
+        auto journal = books.collect_journal("events", lines);
+        if (!journal) ADD_FAILURE() << journal.error();
+        s.ledger = *ledger, s.journal = *journal;
+        std::map<std::string, decide::LifeRecord> lives;
+        if (auto f = books.lives(lives)) ADD_FAILURE() << f.text;
+        const auto count = [&](const decide::Settled& done) {
+            ++s.findings[done.finding];
+            s.work[done.waste] += done.work;
+            (done.logged ? s.logged : s.charged) += done.work;
+            s.after_leaving += done.after_leaving;
+        };
+        const auto alone = [&](const decide::LoggedQuery& q) {
+            const auto life = q.name ? lives.find(q.name->life) : lives.end();
+            count(decide::settle_alone(q, life == lives.end() ? nullptr : &life->second));
+        };
+        const auto f = books.each(
+            [&](const store::Entry& e) {
+                if (!e.whole) return alone(e.logged[0][0]);
+                s.by_id[e.whole->request.id] = *e.whole;
+                for (std::size_t i = 0; i < e.logged.size(); ++i)
+                    count(decide::settle(e.whole->request, e.whole->attempts[i], e.logged[i]));
+                for (const auto& q : e.alone) alone(q);
+            },
+            [&](std::string text) { s.troubles.push_back(std::move(text)); });
+        if (f) ADD_FAILURE() << f.text;
+        return s;
+    }
+    static Micros logged(const std::string& events) {
+        std::istringstream lines(events);
+        Micros all = 0;
+        for (std::string line; std::getline(lines, line);) all += statement::read_completed(line)->cpu;
+        return all;
+    }
+    std::string folder = ::testing::TempDir() + "front-ledger-" + std::to_string(::getpid());
+    std::unique_ptr<store::LedgerWriter> writer;
+    int books_ = 0;
+};
+
+TEST_F(LedgerTest, EveryQueryReconcilesThroughFaultsAndAKilledFront) {
+    engine::MachineSettings machine;
+    machine.cores = 4;
+    Whole w(3, "", machine, [&](auto&) {});
+    keep(w, 1);
+    w.restart();  // with the ledger
+    Random random(11);
+    engine::Faults faults;
+    faults.fast_errors = 0.1, faults.answer_lost = 0.1, faults.busy = 0.1, faults.lost_resets = true;
+    std::vector<Asked*> all;
+    for (int life = 1; life <= 3; ++life) {
+        for (std::size_t i = 0; i < 3; ++i) w.engine(i).set(faults);
+        for (int i = 0; i < 60; ++i) {
+            const char* source = std::array{"test", "unsafe", "long", "keyed"}[random.below(4)];
+            const int n = static_cast<int>(all.size());
+            all.push_back(
+                &w.ask("SELECT " + std::to_string(n) + " /* gt: work_ms=" + std::to_string(random.below(60)) +
+                           " mem_mb=" + std::to_string(random.below(9000)) + " rows=2 */",
+                       source, "", "key=k" + std::to_string(n) + ",team=t" + std::to_string(n % 3)));
+            if (random.chance(0.15)) {
+                const Micros until = w.loop.now() + static_cast<Micros>(random.below(20)) * kMillisecond;
+                (void)w.until([&] { return w.loop.now() >= until; });
+                all.back()->client->cancel();
+            }
+            w.loop.turn(kMillisecond);
+        }
+        const Micros on = w.loop.now() + 300 * kMillisecond;
+        (void)w.until([&] { return w.loop.now() >= on; });
+        if (life < 3) {  // a kill: what waits is not written, and the next life begins on the same file
+            auto killed = std::move(writer);
+            keep(w, life + 1);
+            w.restart();
+            killed.reset();
+        }
+    }
+    for (std::size_t i = 0; i < 3; ++i) w.engine(i).set({});
+    ASSERT_TRUE(w.until([&] {
+        return w.front().statements() == 0 &&
+               w.engine(0).machine().jobs() + w.engine(1).machine().jobs() + w.engine(2).machine().jobs() ==
+                   0;
+    }));
+    w.loop.turn(50 * kMillisecond);
+    writer->finish(w.loop.now(), w.loop.wall());
+    const auto s = settle(w.events);
+    EXPECT_TRUE(s.troubles.empty()) << s.troubles.front();
+    EXPECT_TRUE(s.ledger.troubles.empty() && s.journal.troubles.empty());
+    int attempts = 0;
+    for (const auto& [finding, n] : s.findings) {
+        EXPECT_TRUE(decide::explained(finding)) << name_of(finding) << ": " << n;
+        attempts += n;
+    }
+    EXPECT_GT(s.findings.at(Finding::agreed), 30);
+    EXPECT_GT(s.findings.at(Finding::unseen_end), 2);
+    EXPECT_GT(attempts, 60);
+    EXPECT_EQ(s.logged, logged(w.events));
+    // The same again, and the same ledger twice: nothing changes.
+    const auto again = settle(w.events + w.events);
+    EXPECT_EQ(again.findings, s.findings);
+    EXPECT_EQ(again.work, s.work);
+    EXPECT_EQ(again.journal.events_known, again.journal.events);
+    w.expect_rules_kept();
+}
+
+TEST_F(LedgerTest, WorkAfterLeavingAndSpillAreToldApart) {
+    engine::MachineSettings machine;
+    machine.cores = 2, machine.memory_mb = 100, machine.when_short = WhenShort::trim;
+    machine.cancel_stops = false;  // an engine that doesn't heed
+    Whole w(1, "", machine);
+    keep(w, 1);
+    w.restart();
+    auto& a = w.ask("SELECT 1 /* gt: work_ms=600 mem_mb=4000 rows=1 */", "long");
+    ASSERT_TRUE(w.until([&] { return w.count("spilled") > 0; }));
+    a.client->cancel();
+    ASSERT_TRUE(w.until([&] { return !w.events.empty(); }));
+    ASSERT_TRUE(w.until([&] { return w.front().statements() == 0; }));
+    writer->finish(w.loop.now(), w.loop.wall());
+    const auto s = settle(w.events);
+    ASSERT_EQ(s.by_id.size(), 1u);
+    EXPECT_EQ(s.by_id.begin()->second.request.state, RequestState::cancelled);
+    EXPECT_EQ(s.findings.at(Finding::unseen_end), 1);
+    EXPECT_GE(s.work.at(Waste::left), 600 * kMillisecond);  // all of it, as the engine ran on to the end
+    EXPECT_GT(s.after_leaving, 100 * kMillisecond);
+    EXPECT_NE(w.events.find("\"spilledBytes\""), std::string::npos);
+    EXPECT_GT(statement::read_completed(w.events.substr(0, w.events.find('\n')))->spilled_bytes, 0);
+}
+
+// A client sends tags that look like the front's own, to have its work counted as another's.
+TEST_F(LedgerTest, AForgedNameIsTakenOut) {
+    Whole w(1);
+    keep(w, 1);
+    w.restart();
+    auto& a =
+        w.ask("SELECT 1 /* gt: work_ms=5 */", "test", "", "gatetiller-attempt=0000000000000099.7.0,x=y");
+    ASSERT_TRUE(w.until([&] { return a.ended && w.front().statements() == 0; }));
+    writer->finish(w.loop.now(), w.loop.wall());
+    const auto s = settle(w.events);
+    EXPECT_EQ(s.findings, (std::map<Finding, int>{{Finding::agreed, 1}}));
+    EXPECT_EQ(s.by_id.begin()->second.request.who->tags, "x=y");
+    EXPECT_EQ(w.events.find("0000000000000099"), std::string::npos);
+}
+
+// The disk fails for good: statements are served as ever, the trouble is told in the log's way and in status.
+TEST_F(LedgerTest, AFrontServesOnWithoutItsLedger) {
+    Whole w(1);
+    store::WriterSettings s;
+    s.file = "/proc/no/such/place/front.ledger", s.front = "tested", s.life = "0000000000000011";
+    s.flush_every = 10 * kMillisecond;
+    store::LedgerWriter broken(s);
+    w.ledger = &broken;
+    w.restart();
+    auto& a = w.ask("SELECT 1 /* gt: work_ms=5 */");
+    ASSERT_TRUE(w.until([&] { return a.ended && w.front().statements() == 0; }));
+    EXPECT_TRUE(a.error().empty()) << a.error();
+    EXPECT_NE(w.exchange("GET", "/v1/status").response.body.find("\"ledger\":{\"state\":\"no access\""),
+              std::string::npos);
+    EXPECT_NE(w.exchange("GET", "/metrics").response.body.find("what=\"ledger_written\"} 0"),
+              std::string::npos);
+    w.expect_rules_kept();
+}
+
+}  // namespace
+}  // namespace gatetiller::testing
--- a/tests/front/whole.hpp
+++ b/tests/front/whole.hpp
@@ -100,14 +100,16 @@
             [this, name = s.name](const engine::Entry& e) {
                 journal.push_back(e);
                 records.engines.push_back({name, e});
-            }));
+            },
+            [this](const statement::Completed& c) { events += statement::write_completed(c) + "\n"; }));
         addresses_.push_back(*engines_.back()->start());
     }
     std::unique_ptr<front::Front> make_front() {
         auto f = std::make_unique<front::Front>(
             tap_, settings,
             front::Deps{[this] { return random_.hex(32); }, 7, [](const std::string&) {},
-                        [this](const front::Finished& done) { finished.push_back(done); }, drop_event, ledger});
+                        [this](const front::Finished& done) { finished.push_back(done); }, drop_event,
+                        ledger});
         auto bound = f->start();
         if (!bound) throw std::runtime_error(bound.error());
         settings.listen = {bound->front()};
@@ -210,6 +212,7 @@
     store::LedgerWriter* ledger = nullptr;
     lab::Records records;
     std::vector<engine::Entry> journal;
+    std::string events;  // what the engines' own listeners told, a line each
     std::vector<front::Finished> finished;
     std::vector<std::unique_ptr<Asked>> asked;
     std::unique_ptr<http::Client> http;
--- /dev/null
+++ b/tests/store/books_test.cpp
@@ -0,0 +1,191 @@
+// Collecting ledgers and journals: in any order, several times over, from copies.
+#include "store/books.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <sstream>
+
+#include "base/random.hpp"
+#include "statement/completed.hpp"
+#include "store/writer.hpp"
+
+namespace gatetiller::store {
+namespace {
+
+using decide::AttemptState;
+using decide::Finding;
+using decide::RequestState;
+
+constexpr Micros kWall = 1'790'000'000'000'000;
+
+struct Made {
+    std::vector<std::string> ledgers, journals;
+    std::map<Finding, int> wanted;
+    Micros logged = 0;
+    std::size_t requests = 0;
+};
+
+// Two fronts' ledgers and two engines' journals of which each finding is known beforehand.
+Made make(const std::string& folder, Random& random) {
+    Made m;
+    m.journals.resize(2);
+    int queries = 0;
+    const auto log = [&](const std::string& life, std::uint32_t request, Micros at, Micros work) {
+        statement::Completed c;
+        c.id = "q" + std::to_string(++queries), c.state = "FINISHED", c.user = "u", c.server = "e1";
+        if (!life.empty()) c.tags = {decide::tag_of({life, request, 0})};
+        c.created = at, c.ended = at + 1000, c.cpu = work;
+        m.logged += work;
+        m.journals[random.below(2)] += statement::write_completed(c) + "\n";
+    };
+    for (int f = 0; f < 2; ++f) {
+        const std::string life = "000000000000000" + std::to_string(f + 1);
+        m.ledgers.push_back(folder + "/f" + std::to_string(f));
+        LedgerWriter w({m.ledgers.back(), "front-" + std::to_string(f), life, 100 * kMillisecond});
+        for (int i = 0; i < 200; ++i) {
+            const Micros wall = kWall + i * kSecondMicros;
+            RequestRow r;
+            r.who = std::make_shared<const decide::Who>(decide::Who{"u", "s", "", "c", "t"});
+            r.taken = wall;
+            EXPECT_TRUE(w.taken(r, wall));
+            ++m.requests;
+            AttemptRow a;
+            a.request = r.number, a.engine = "e1", a.work = static_cast<Micros>(random.below(1000)) * 1000;
+            const auto want = [&](Finding finding, AttemptState state, bool whole, bool logged, Micros more) {
+                ++m.wanted[finding];
+                a.state = state, a.whole = whole;
+                if (logged) log(life, r.number, wall, a.work + more);
+            };
+            switch (random.below(6)) {
+                case 0: want(Finding::agreed, AttemptState::answered, true, true, 400); break;
+                case 1: want(Finding::unseen_end, AttemptState::lost, false, true, 90'000); break;
+                case 2: want(Finding::never_ran, AttemptState::unreachable, false, false, 0); break;
+                case 3: want(Finding::unlogged, AttemptState::lost, false, false, 0); break;
+                case 4: want(Finding::differs, AttemptState::error, true, true, 5000); break;
+                case 5: want(Finding::journal_lacks, AttemptState::answered, true, false, 0); break;
+            }
+            w.update(a, wall);
+            r.state = RequestState::served;
+            w.update(r, wall);
+            if (i % 20 == 0) (void)w.look(i, wall);
+        }
+        (void)w.finish(0, kWall + 200 * kSecondMicros);
+        // Logged under a number that the ledger never gave.
+        log(life, 5000, kWall, 7), ++m.wanted[Finding::ledger_lacks];
+    }
+    log("", 0, kWall, 11), ++m.wanted[Finding::direct];
+    log("00000000000000ff", 3, kWall, 13), ++m.wanted[Finding::other_life];
+    return m;
+}
+
+TEST(Books, CollectingInAnyOrderAndTwiceComesToTheSame) {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        const std::string folder = ::testing::TempDir() + "books-" + std::to_string(::getpid());
+        std::filesystem::remove_all(folder);
+        std::filesystem::create_directories(folder);
+        Random random(seed);
+        const auto made = make(folder, random);
+        Books books;
+        ASSERT_FALSE(books.open(folder + "/books"));
+        // Ledgers 0 and 1, journals 2 and 3, each up to twice, shuffled.
+        std::vector<int> order{0, 1, 2, 3, 0, 1, 2, 3};
+        for (std::size_t i = order.size(); i > 1; --i) std::swap(order[i - 1], order[random.below(i)]);
+        for (const int what : order) {
+            if (what < 2) {
+                ASSERT_TRUE(books.collect_ledger(made.ledgers[static_cast<std::size_t>(what)]));
+            } else {
+                std::istringstream lines(made.journals[static_cast<std::size_t>(what - 2)] + "{\"cut off");
+                ASSERT_TRUE(books.collect_journal("j", lines));
+            }
+        }
+        std::map<std::string, decide::LifeRecord> lives;
+        ASSERT_FALSE(books.lives(lives));
+        std::map<Finding, int> found;
+        Micros logged = 0;
+        std::size_t requests = 0;
+        const auto count = [&](const decide::Settled& s) {
+            ++found[s.finding];
+            if (s.logged) logged += s.work;
+        };
+        const auto alone = [&](const decide::LoggedQuery& q) {
+            const auto life = q.name ? lives.find(q.name->life) : lives.end();
+            count(settle_alone(q, life == lives.end() ? nullptr : &life->second));
+        };
+        ASSERT_FALSE(books.each(
+            [&](const Entry& e) {
+                if (!e.whole) return alone(e.logged[0][0]);
+                ++requests;
+                for (std::size_t i = 0; i < e.logged.size(); ++i)
+                    count(settle(e.whole->request, e.whole->attempts[i], e.logged[i]));
+                for (const auto& q : e.alone) alone(q);
+            },
+            [](const std::string& text) { ADD_FAILURE() << text; }));
+        EXPECT_EQ(found, made.wanted);
+        EXPECT_EQ(logged, made.logged);
+        EXPECT_EQ(requests, made.requests);
+        std::filesystem::remove_all(folder);
+    }
+}
+
+TEST(Books, LinesThatAreNoEventsAreToldWithTheirPlace) {
+    Books books;
+    ASSERT_FALSE(books.open(":memory:"));
+    std::istringstream lines(
+        "\n[1]\n{\"metadata\":{},\"createTime\":\"2026-11-01T00:00:00Z\",\"endTime\":1}\n"
+        R"({"metadata":{"queryId":"q"},"statistics":{"cpuTime":"PT1.5S","spilledBytes":-3},"createTime":1,"endTime":2})"
+        "\n"
+        R"({"metadata":{"queryId":"q"},"statistics":{"cpuTime":"PT1M1.5S"},"createTime":1,"endTime":"2026-11-01T01:00:00+01:00"})"
+        "\n");
+    const auto c = books.collect_journal("e1.jsonl", lines);
+    ASSERT_TRUE(c) << c.error();
+    EXPECT_EQ(c->events, 1);
+    ASSERT_EQ(c->troubles.size(), 3u);
+    EXPECT_EQ(c->troubles[0], "e1.jsonl:2: not a query-completed event: not a JSON object");
+    EXPECT_NE(c->troubles[1].find("e1.jsonl:3"), std::string::npos);
+    EXPECT_NE(c->troubles[2].find("spilledBytes"), std::string::npos);
+    EXPECT_EQ(*books.ledger().db().number("SELECT work FROM events"), 61'500'000);
+    EXPECT_EQ(*books.ledger().db().number("SELECT ended FROM events"), 1'793'491'200'000'000);
+}
+
+// Kept by what is known of the row, not by who came last.
+TEST(Books, ARowThatSaysMoreStands) {
+    const std::string folder = ::testing::TempDir() + "books-more-" + std::to_string(::getpid());
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    const std::string file = folder + "/f", copy = folder + "/copy";
+    RequestRow r;
+    r.who = std::make_shared<const decide::Who>();
+    r.taken = kWall;
+    {
+        LedgerWriter w({file, "f", "0000000000000001", 100 * kMillisecond});
+        ASSERT_TRUE(w.taken(r, kWall));
+        (void)w.look(0, kWall);
+        Ledger l;
+        ASSERT_FALSE(l.open(file, {"", true}));
+        ASSERT_FALSE(l.snapshot(copy));
+        r.state = RequestState::served;
+        w.update(r, kWall);
+        (void)w.finish(1, kWall);
+    }
+    {  // the copy is taken for another life, which marks the request as interrupted
+        LedgerWriter w({copy, "f", "0000000000000002", 100 * kMillisecond});
+        (void)w.look(0, kWall);
+        (void)w.finish(1, kWall);
+    }
+    for (const bool copy_first : {true, false}) {
+        Books books;
+        ASSERT_FALSE(books.open(":memory:"));
+        ASSERT_TRUE(books.collect_ledger(copy_first ? copy : file));
+        ASSERT_TRUE(books.collect_ledger(copy_first ? file : copy));
+        EXPECT_EQ(*books.ledger().db().number("SELECT count(*) FROM requests"), 1);
+        EXPECT_EQ(*books.ledger().db().number("SELECT state FROM requests"),
+                  static_cast<int>(RequestState::served));
+    }
+    std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace gatetiller::store
