--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -18,5 +18,6 @@
 void add_demo(CLI::App& app, Common& common);
 void add_lab(CLI::App& app, Common& common);
 void add_config(CLI::App& app, Common& common);
+void add_report(CLI::App& app, Common& common);
 
 }  // namespace gatetiller::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -17,6 +17,7 @@
     gatetiller::cli::add_query(app, common);
     gatetiller::cli::add_config(app, common);
     gatetiller::cli::add_lab(app, common);
+    gatetiller::cli::add_report(app, common);
     app.parse_complete_callback([&] {
         common.format_given = app.count("--log-format") > 0;
         common.level_given = app.count("--log-level") > 0;
--- /dev/null
+++ b/src/decide/charge.cpp
@@ -0,0 +1,72 @@
+#include "decide/charge.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace gatetiller::decide {
+namespace {
+
+template <typename T, std::size_t N>
+void add(std::array<T, N>& to, const std::array<T, N>& from) {
+    for (std::size_t i = 0; i < N; ++i) to[i] += from[i];
+}
+
+}  // namespace
+
+Line& Line::operator+=(const Line& o) {
+    add(requests, o.requests);
+    errors += o.errors, repeats += o.repeats, attempts += o.attempts, further += o.further;
+    unlogged += o.unlogged, unpriced += o.unpriced;
+    add(work, o.work);
+    after_leaving += o.after_leaving;
+    granted_byte_micros += o.granted_byte_micros, used_byte_micros += o.used_byte_micros;
+    add(spilled, o.spilled);
+    row_bytes += o.row_bytes;
+    add(amount, o.amount);
+    return *this;
+}
+
+Micros Line::all_work() const { return std::accumulate(work.begin(), work.end(), Micros{0}); }
+
+void Charges::add_work(Line& line, const std::string& kind, Micros taken, const Settled& s, Micros span,
+                       std::int64_t grant_bytes) {
+    auto& finding = findings_[static_cast<std::size_t>(s.finding)];
+    ++finding.queries, finding.work += s.work;
+    ++line.attempts;
+    line.unlogged += !s.logged && s.finding != Finding::never_ran;
+    line.work[static_cast<std::size_t>(s.waste)] += s.work;
+    line.after_leaving += s.after_leaving;
+    const std::size_t wasted = s.waste != Waste::none;
+    Usage u{s.work, Exact{grant_bytes} * span, Exact{s.peak_bytes} * span, s.spilled_bytes};
+    line.granted_byte_micros += u.granted_byte_micros, line.used_byte_micros += u.used_byte_micros;
+    line.spilled[wasted] += s.spilled_bytes;
+    if (const Rates* rates = prices_.at(taken, kind)) line.amount[wasted] += amount_of(u, *rates);
+    else line.unpriced += 1;
+}
+
+void Charges::add(LineKey key, const RequestRow& r, bool repeat, const std::vector<AttemptRow>& attempts,
+                  const std::vector<Settled>& settled) {
+    for (std::size_t i = 0; i < attempts.size(); ++i) {
+        const AttemptRow& a = attempts[i];
+        key.kind = a.kind.empty() ? "-" : a.kind;
+        Line& line = lines_[key];
+        // Memory is held by what ran, as long as the front knows of it.
+        const bool ran = settled[i].finding != Finding::never_ran;
+        add_work(line, a.kind, r.taken, settled[i],
+                 ran ? std::max<Micros>(0, a.ended_after - a.sent_after) : 0, a.grant_bytes);
+        line.further += i > 0;
+        line.row_bytes += a.row_bytes;
+    }
+    if (attempts.empty()) key.kind = "-";
+    Line& line = lines_[key];
+    ++line.requests[static_cast<std::size_t>(r.state)];
+    line.errors += r.error;
+    line.repeats += repeat;
+}
+
+void Charges::add_alone(LineKey key, const LoggedQuery& q, const Settled& s) {
+    const std::string kind = key.kind;
+    add_work(lines_[std::move(key)], kind, q.created, s, std::max<Micros>(0, q.ended - q.created), 0);
+}
+
+}  // namespace gatetiller::decide
--- a/src/decide/settle.cpp
+++ b/src/decide/settle.cpp
@@ -28,11 +28,11 @@
         return s;
     }
     s.logged = true;
-    Micros ended = 0;
+    Micros ran = 0;
     for (const LoggedQuery& q : logged) {
         s.work += q.work, s.spilled_bytes += q.spilled_bytes;
         s.peak_bytes = std::max(s.peak_bytes, q.peak_bytes);
-        ended = std::max(ended, q.ended - q.created);
+        ran = std::max(ran, q.ended - q.created);
     }
     if (never) {
         // An engine that refuses a query in its queue logs it all the same, with nothing done.
@@ -48,7 +48,13 @@
     }
     s.finding = Finding::unseen_end;
     const bool left = r.state == RequestState::cancelled || r.state == RequestState::abandoned;
-    if (left && a.sent_after + ended > r.ended_after) s.after_leaving = std::max<Micros>(0, s.work - a.work);
+    const Micros over = a.sent_after + ran - r.ended_after;
+    if (left && over > 0 && ran > 0) {
+        const auto part = static_cast<double>(s.work) *
+                          (static_cast<double>(std::min(over, ran)) / static_cast<double>(ran));
+        s.after_leaving =
+            std::clamp(static_cast<Micros>(part), Micros{0}, std::max<Micros>(0, s.work - a.work));
+    }
     return s;
 }
 
--- a/src/decide/settle.hpp
+++ b/src/decide/settle.hpp
@@ -44,8 +44,8 @@
     std::int64_t peak_bytes = 0, spilled_bytes = 0;
     Micros seen = 0;  // of the work, as the front had it
     bool logged = false;
-    // Of the work, done where the client had left already, as far as it is known: what the engine logged
-    // beyond the front's last sight of it, by an end after the leaving.
+    // Of the work, what was done when the client had left already: the part of the run's time that lay behind
+    // the leaving, as if it worked evenly, and never more than the front had not seen before.
     Micros after_leaving = 0;
 };
 
--- /dev/null
+++ b/src/decide/teams.cpp
@@ -0,0 +1,93 @@
+#include "decide/teams.hpp"
+
+#include <algorithm>
+#include <limits>
+
+#include "base/text.hpp"
+
+namespace gatetiller::decide {
+namespace {
+
+constexpr std::size_t kKnown = 200'000;  // requesters remembered at once
+const std::string kNoTeam;
+
+bool fits(const std::string& pattern, const std::string& text) {
+    return pattern.empty() || glob_matches(pattern, text);
+}
+
+bool fits(const TeamRule& r, const Who& w) {
+    if (!fits(r.tenant, w.tenant) || !fits(r.user, w.user) || !fits(r.source, w.source)) return false;
+    const auto tags = split(w.tags, ',');
+    return std::all_of(r.tags.begin(), r.tags.end(), [&](const std::string& wanted) {
+        return std::any_of(tags.begin(), tags.end(),
+                           [&](std::string_view tag) { return glob_matches(wanted, tag); });
+    });
+}
+
+}  // namespace
+
+Teams::Teams(std::vector<TeamRule> rules, std::map<std::string, std::vector<TeamName>> names)
+    : rules_(std::move(rules)), names_(std::move(names)) {}
+
+std::vector<Teams::Stretch> Teams::stretches_of(const Who& who) const {
+    std::vector<const TeamRule*> fitting;
+    std::vector<Micros> changes{std::numeric_limits<Micros>::min()};
+    for (const TeamRule& r : rules_)
+        if (fits(r, who)) {
+            fitting.push_back(&r);
+            changes.push_back(r.from);
+            if (r.until != 0) changes.push_back(r.until);
+        }
+    std::sort(changes.begin(), changes.end());
+    changes.erase(std::unique(changes.begin(), changes.end()), changes.end());
+    std::vector<Stretch> stretches;
+    for (const Micros at : changes) {
+        const auto rule = std::find_if(fitting.begin(), fitting.end(), [&](const TeamRule* r) {
+            return at >= r->from && (r->until == 0 || at < r->until);
+        });
+        stretches.push_back({at, rule == fitting.end() ? kNoTeam : (*rule)->team});
+    }
+    return stretches;
+}
+
+const std::string& Teams::of(const Who& who, Micros taken) {
+    std::string key;
+    for (const std::string* part : {&who.tenant, &who.user, &who.source, &who.tags}) (key += *part) += '\0';
+    auto found = known_.find(key);
+    if (found == known_.end()) {
+        if (known_.size() >= kKnown) known_.clear();
+        found = known_.emplace(std::move(key), stretches_of(who)).first;
+    }
+    const auto& s = found->second;
+    const auto after = std::upper_bound(s.begin(), s.end(), taken,
+                                        [](Micros at, const Stretch& stretch) { return at < stretch.from; });
+    return std::prev(after)->team;
+}
+
+std::string Teams::name_at(const std::string& team, Micros at) const {
+    std::string name = team.empty() ? "(no team)" : team;
+    if (const auto names = names_.find(team); names != names_.end())
+        for (const TeamName& n : names->second)
+            if (n.from <= at) name = n.name;
+    return name;
+}
+
+std::vector<std::string> Teams::formerly(const std::string& team, Micros from, Micros until) const {
+    std::vector<std::string> before;
+    const auto names = names_.find(team);
+    if (names == names_.end()) return before;
+    const std::string last = name_at(team, until - 1);
+    for (const Micros at : [&] {
+             std::vector<Micros> times{from};
+             for (const TeamName& n : names->second)
+                 if (n.from > from && n.from < until) times.push_back(n.from);
+             return times;
+         }()) {
+        const std::string name = name_at(team, at);
+        if (name != last && std::find(before.begin(), before.end(), name) == before.end())
+            before.push_back(name);
+    }
+    return before;
+}
+
+}  // namespace gatetiller::decide
--- a/src/store/books.cpp
+++ b/src/store/books.cpp
@@ -1,6 +1,7 @@
 #include "store/books.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 #include "base/text.hpp"
@@ -216,6 +217,15 @@
             for (auto& [row, record] : by_row) record->gaps.push_back(g);  // of the whole file: let go by age
     }
     if (gaps.failure()) return gaps.failure();
+    // A life without an end, and with no later one that marked it: running still, or killed for good. What
+    // came after its last write is not here.
+    for (const Life& l : all) {
+        auto& gaps_of = by_row[l.row]->gaps;
+        const bool marked = std::any_of(gaps_of.begin(), gaps_of.end(),
+                                        [](const Gap& g) { return g.cause == StoreTrouble::killed; });
+        if (l.ended == 0 && !marked)
+            gaps_of.push_back({StoreTrouble::killed, l.last, std::numeric_limits<Micros>::max() / 2, -1, -1});
+    }
     auto steps = ledger_.db().prepare("SELECT life,by FROM clock_steps");
     while (steps.step())
         if (const auto life = by_row.find(steps.number(0)); life != by_row.end())
--- a/src/store/ledger.cpp
+++ b/src/store/ledger.cpp
@@ -544,6 +544,21 @@
     return {};
 }
 
+Failure Ledger::each_keyed(const std::function<void(const Life&, const RequestRow&)>& row) {
+    std::vector<Life> all;
+    if (auto f = lives(all)) return f;
+    std::map<std::int64_t, const Life*> by_row;
+    for (const Life& l : all) by_row[l.row] = &l;
+    auto s = db_.prepare("SELECT * FROM requests WHERE key_window>0");
+    RequestRow r;
+    while (s.step())
+        if (const auto life = by_row.find(s.number(0) >> kLifeShift);
+            read_request(s, r) && life != by_row.end())
+            row(*life->second, r);
+    // A damaged page is told by each(), which gets past it.
+    return s.failure().trouble == StoreTrouble::corrupt ? Failure{} : s.failure();
+}
+
 // ---- The lock
 
 Failure FileLock::take(const std::string& file) {
--- a/src/store/ledger.hpp
+++ b/src/store/ledger.hpp
@@ -75,6 +75,8 @@
     // `damaged` with what is known of its place.
     Failure each(const std::function<void(const Whole&)>& row,
                  const std::function<void(std::string)>& damaged);
+    // Requests with a key and a window alone, without their attempts.
+    Failure each_keyed(const std::function<void(const Life&, const RequestRow&)>& row);
     Failure lives(std::vector<Life>& to);
     Failure gaps(std::vector<std::pair<std::string, Gap>>& to);  // with the front's name
     Failure clock_steps(std::vector<std::pair<Micros, Micros>>& to);
