Budgets: a team's use as a signal, with hysteresis, kept through restarts

Need: use so far should be a signal for admission, without a second mind beside the module.

Change: decide/quota turns work over a sliding window into within, soft and hard; up at once, down after a stay below nine tenths. Over the soft budget a statement counts as that of the tenant set aside (`budgets.over`), over the hard one it is answered 429 with a hint before it was taken. Off without `budgets`. A restarted front reads its part of the window back from the ledger; each of several fronts holds its share. The ledger keeps the statement's own tenant.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -227,6 +227,38 @@
     r.span("answer_reserve", f.answer_reserve);
 }
 
+void read_budgets(Reader& r, const Settings& m, BudgetSettings& b) {
+    r.required({"teams"});
+    r.span("window", b.quota.window);
+    r.span("stay", b.quota.stay);
+    r.number("back_at", b.quota.back_at, 0.1, 1);
+    r.text("over", b.over);
+    if (b.quota.window < kSecondMicros) r.wrong("window", "must be at least 1s");
+    bool soft = false;
+    r.each("teams", [&](const std::string& name, Reader& t) {
+        decide::Budget budget{name};
+        t.span("soft", budget.soft);
+        t.span("hard", budget.hard);
+        if (budget.soft == 0 && budget.hard == 0)
+            t.wrong("soft", "a budget needs 'soft' or 'hard': core-time in the window, such as '8h'");
+        if (budget.soft > 0 && budget.hard > 0 && budget.hard < budget.soft)
+            t.wrong("hard", "must not be below 'soft'");
+        soft = soft || budget.soft > 0;
+        decide::TeamRule rule;
+        rule.team = name;
+        t.text("tenant", rule.tenant);
+        t.text("user", rule.user);
+        t.text("source", rule.source);
+        t.texts("tags", rule.tags);
+        b.budgets.push_back(budget);
+        b.rules.push_back(std::move(rule));
+    });
+    const bool known =
+        std::any_of(m.tenants.begin(), m.tenants.end(), [&](const auto& t) { return t.name == b.over; });
+    if (soft && !known)
+        r.wrong("over", "names the tenant, one of 'tenants', that statements over a soft budget count as");
+}
+
 void read_front(Reader& top, FrontSettings& f) {
     Settings& m = f.module;
     top.required({"listen", "classes", "kinds", "routes"});
@@ -299,6 +331,8 @@
         if (f.ledger.flush_every < kMillisecond || f.ledger.flush_every > 10 * kSecondMicros)
             r.wrong("flush", "must be between 1ms and 10s: it is what a killed front may lose");
     });
+    top.object("budgets", [&](Reader& r) { read_budgets(r, m, f.budgets); });
+    f.budgets.quota.fronts = m.siblings;
     top.object("log", [&](Reader& r) {
         r.word<std::string>(
             "level", f.log.level,
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -9,7 +9,9 @@
 #include <vector>
 
 #include "decide/holding.hpp"
+#include "decide/quota.hpp"
 #include "decide/routing.hpp"
+#include "decide/teams.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "net/loop.hpp"
@@ -49,6 +51,13 @@
     std::size_t waiting = 200'000;            // rows that may wait for a slow or broken disk
 };
 
+struct BudgetSettings {
+    decide::QuotaSettings quota{};
+    std::string over{};  // the tenant that statements over a soft budget count as
+    std::vector<decide::Budget> budgets{};
+    std::vector<decide::TeamRule> rules{};
+};
+
 struct FrontSettings {
     std::string name = "front";
     std::vector<net::Address> listen;
@@ -67,6 +76,7 @@
     std::string records;  // file to which every message on the sockets is recorded; empty: none
     LogSettings log;
     LedgerSettings ledger;
+    BudgetSettings budgets;
 };
 
 class Reader;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -91,6 +91,7 @@
     statement::Submission submission;
     decide::Routed routed;
     std::uint32_t number = 0;  // in the ledger's order of taking
+    std::string team;          // whose budget it is on; empty: nobody's
     Micros arrived = 0, deadline = 0, first_sent = 0, ended_at = 0;
     std::vector<std::unique_ptr<Attempt>> attempts;
     double grant_mb = 0;
@@ -112,6 +113,8 @@
       deps_(std::move(deps)),
       router_(settings_.routes, tenant_names(settings_.module)),
       holding_(settings_.holding),
+      teams_(settings_.budgets.rules, {}),
+      quota_(settings_.budgets.quota, settings_.budgets.budgets),
       brain_(loop.now(), deps_.seed, settings_.module),
       engines_(
           loop, settings_,
@@ -164,11 +167,12 @@
 }
 
 std::optional<http::Response> Front::submit(const std::string& id, statement::Submission s) {
-    const auto turned_away = [&](int status, const char* why, const std::string& text) {
+    const auto turned_away = [&](int status, const char* why, const std::string& text, Micros come_back = 0) {
         metrics_.turned_away(why);
         auto r = statement::text_response(status, text);
         if (status == 429 || status == 503)
-            r.headers.add("Retry-After", retry_after(settings_.holding.come_back));
+            r.headers.add("Retry-After",
+                          retry_after(come_back > 0 ? come_back : settings_.holding.come_back));
         return r;
     };
     if (draining_) return turned_away(503, "draining", "this front is shutting down: ask another one");
@@ -177,6 +181,18 @@
     if (!routed)
         return turned_away(400, "no_route",
                            "no route takes this statement: user '" + c.user + "', source '" + c.source + "'");
+    std::string team;
+    const std::string tenant = routed->tenant;  // whose it is, whatever it counts as
+    if (quota_.any()) {
+        team = teams_.of({c.user, c.source, decide::tags_without(c.tags, routed->key), "", tenant}, 0);
+        switch (quota_.state(team, loop_.now())) {
+            case decide::QuotaState::within: break;
+            case decide::QuotaState::soft: routed->tenant = settings_.budgets.over; break;
+            case decide::QuotaState::hard:
+                return turned_away(429, "over_budget", "team '" + team + "' has used up its budget",
+                                   quota_.come_back(team, loop_.now()));
+        }
+    }
     switch (holding_.admit(c.user, s.sql.size())) {
         case decide::Admission::taken: break;
         case decide::Admission::front_full:
@@ -192,7 +208,7 @@
     const auto cls =
         std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == routed->cls; });
     auto r = std::make_unique<Running>();
-    r->id = id, r->routed = std::move(*routed), r->arrived = loop_.now();
+    r->id = id, r->routed = std::move(*routed), r->arrived = loop_.now(), r->team = std::move(team);
     const Micros limit = c.run_limit > 0 ? std::min(c.run_limit, cls->deadline) : cls->deadline;
     const Micros left = decide::time_left(limit, loop_.unseen(), settings_.answer_reserve);
     r->deadline = r->arrived + left;
@@ -203,7 +219,7 @@
     if (deps_.ledger) {
         decide::RequestRow row;
         row.who = std::make_shared<const decide::Who>(decide::Who{
-            c.user, c.source, decide::tags_without(c.tags, r->routed.key), r->routed.cls, r->routed.tenant});
+            c.user, c.source, decide::tags_without(c.tags, r->routed.key), r->routed.cls, tenant});
         row.id = id, row.key = r->routed.key, row.taken = loop_.wall();
         if (cls->effect == Effect::by_key) row.key_window = cls->window;
         if (deps_.ledger->taken(row, row.taken)) r->row = std::move(row);
@@ -461,6 +477,7 @@
     metrics_.attempt(outcome);
     a.facts.outcome = outcome;
     note_attempt(a, decide::state_of(a.facts));
+    quota_.used(r.team, loop_.now(), a.stats.cpu_ms * kMillisecond);
     Completed c{r.id, a.number, a.engine, outcome, loop_.now() - a.sent, finished, 0, 0, a.report};
     if (outcome == Outcome::done && settings_.module.cost_in_answers) {
         c.work_ms = static_cast<double>(a.stats.cpu_ms);
@@ -580,6 +597,9 @@
 
 void Front::look_in_ledger() {
     for (const auto& text : deps_.ledger->look(loop_.now(), loop_.wall())) deps_.log(text);
+    for (const auto& p : deps_.ledger->take_past())
+        quota_.restore(teams_.of({p.who->user, p.who->source, p.who->tags, "", p.who->tenant}, 0),
+                       loop_.now(), loop_.wall() - p.taken, p.work);
     ledger_timer_ = loop_.after(deps_.ledger->flush_every(), [this] { look_in_ledger(); });
 }
 
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -86,6 +86,8 @@
     Deps deps_;
     decide::Router router_;
     decide::Holding holding_;
+    decide::Teams teams_;
+    decide::Quota quota_;
     Metrics metrics_;
     Brain brain_;
     Engines engines_;
--- a/src/store/ledger.cpp
+++ b/src/store/ledger.cpp
@@ -318,6 +318,18 @@
     return {};
 }
 
+Failure Ledger::work_since(Micros wall, Micros step, std::vector<Past>& to) {
+    // Rows stand in the order of taking but for steps of the clock: from the end back to the first that is
+    // older, and each further one is looked at by its own time.
+    auto s = db_.prepare(
+        "SELECT who, taken/?2, sum(work) FROM requests JOIN attempts ON request=requests.row "
+        "WHERE taken>=?1 GROUP BY 1, 2 ORDER BY 2, 1");
+    s.bind(0, wall).bind(1, std::max<Micros>(1, step));
+    while (s.step())
+        to.push_back({who_of(s.number(0)), s.number(1) * std::max<Micros>(1, step), s.number(2)});
+    return s.failure();
+}
+
 Failure Ledger::snapshot(const std::string& file) { return db_.copy_to(file, 500); }
 
 // ---- Rows
--- a/src/store/ledger.hpp
+++ b/src/store/ledger.hpp
@@ -68,6 +68,12 @@
     // Removes closed requests taken before `wall`, so many at most; what is gone stands as a gap. `removed`
     // is 0 once none is left.
     Failure expire(Micros wall, int most, std::int64_t& removed);
+    // Work of requests taken since `wall`, in all, by requester and by `step` of time.
+    struct Past {
+        std::shared_ptr<const decide::Who> who;
+        Micros taken = 0, work = 0;
+    };
+    Failure work_since(Micros wall, Micros step, std::vector<Past>& to);
     Failure snapshot(const std::string& file);
 
     // All requests in the order of their lives' names and their numbers, whatever order they came in. What
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -90,6 +90,11 @@
     return {trouble_, queue_.size() + in_hand_, intake_.lost(), committed_, batches_, written_until_};
 }
 
+std::vector<Ledger::Past> LedgerWriter::take_past() {
+    const std::lock_guard guard(mutex_);
+    return std::exchange(past_, {});
+}
+
 void LedgerWriter::start_thread() {
     // Signals are the loop's: a thread that doesn't block them would take them in its place.
     sigset_t all, before;
@@ -192,6 +197,13 @@
         say("ledger: the life before was not ended in order: " + std::to_string(taken.requests_interrupted) +
             " requests and " + std::to_string(taken.attempts_interrupted) +
             " attempts in hand are marked as interrupted");
+    if (settings_.past > 0 && !std::exchange(past_read_, true)) {
+        std::vector<Ledger::Past> past;
+        if (const auto f = ledger_.work_since(pending_.wall - settings_.past, settings_.past / 60, past))
+            say("ledger: the work of the past could not be read back: " + f.text);
+        const std::lock_guard guard(mutex_);
+        past_ = std::move(past);
+    }
     return {};
 }
 
--- a/src/store/writer.hpp
+++ b/src/store/writer.hpp
@@ -23,6 +23,7 @@
     Micros keep = 0;  // closed requests are removed after so long; 0: never
     decide::KeeperLimits limits{};
     std::string vfs{};
+    Micros past = 0;  // so much of earlier lives' work is read back at the start; 0: none
 };
 
 struct WriterStatus {
@@ -49,6 +50,8 @@
     // Hands over what waits. What an operator should read comes back, a text each.
     std::vector<std::string> look(Micros now, Micros wall);
     WriterStatus status() const;
+    // What was read back, once, as soon as the ledger is open.
+    std::vector<Ledger::Past> take_past();
     void start_thread();
     // Writes what waits, marks the life as ended in order, lets go of the file. What could not be written is
     // told.
@@ -74,6 +77,7 @@
     Batch shared_;  // under the mutex, as all until here
     Micros shared_now_ = 0;
     std::vector<std::string> words_;
+    std::vector<Ledger::Past> past_;
     bool work_ = false, stop_ = false;
     decide::StoreTrouble trouble_ = decide::StoreTrouble::none, last_trouble_ = decide::StoreTrouble::none;
     std::int64_t committed_ = 0, batches_ = 0;
@@ -87,6 +91,7 @@
     Batch pending_;
     Micros touched_ = 0;
     int aside_ = 0;
+    bool past_read_ = false;
     std::thread thread_;
 };
 
--- a/tests/front/ledger_test.cpp
+++ b/tests/front/ledger_test.cpp
@@ -186,6 +186,44 @@
     EXPECT_EQ(w.events.find("0000000000000099"), std::string::npos);
 }
 
+// Over its budget a team's statements are turned away at the door; another team's are not; and the front that
+// is started again knows it from the ledger.
+TEST_F(LedgerTest, ABudgetIsKeptThroughARestart) {
+    Whole w(1,
+            "tenants: { a: g.tenant(0.5), b: g.tenant(0.3), spent: g.tenant(0.2) },"
+            "budgets: { window: '1h', over: 'spent', teams: {"
+            "  one: { tags: ['team=a'], soft: '50ms', hard: '200ms' } } }");
+    const auto with_past = [&](int life) {
+        store::WriterSettings s;
+        s.file = folder + "/front.ledger", s.front = "tested";
+        s.life = "00000000000000" + std::to_string(10 + life), s.flush_every = 20 * kMillisecond;
+        s.past = w.settings.budgets.quota.window;
+        writer = std::make_unique<store::LedgerWriter>(s);
+        w.ledger = writer.get();
+    };
+    with_past(1);
+    w.restart();
+    const auto served = [&](const char* tag) {
+        auto& a = w.ask("SELECT 1 /* gt: work_ms=80 */", "test", "", tag);
+        EXPECT_TRUE(w.until([&] { return a.ended; }));
+        return a.result.how == statement::ClientResult::How::answered && a.error().empty();
+    };
+    int taken = 0;
+    while (taken < 10 && served("team=a")) ++taken;
+    EXPECT_EQ(taken, 3);                           // 240 ms of the 200
+    EXPECT_EQ(w.finished.back().tenant, "spent");  // over the soft one before
+    EXPECT_TRUE(served("team=b"));
+    ASSERT_TRUE(w.until([&] { return writer->status().waiting == 0 && w.front().statements() == 0; }));
+    auto killed = std::move(writer);
+    with_past(2);
+    w.restart();
+    killed.reset();
+    ASSERT_TRUE(w.until([&] { return writer->status().batches > 1; }));
+    EXPECT_FALSE(served("team=a"));
+    EXPECT_TRUE(served("team=b"));
+    w.expect_rules_kept();
+}
+
 // The disk fails for good: statements are served as ever, the trouble is told in the log's way and in status.
 TEST_F(LedgerTest, AFrontServesOnWithoutItsLedger) {
     Whole w(1);
