--- a/src/cli/lab.cpp
+++ b/src/cli/lab.cpp
@@ -5,8 +5,10 @@
 #include "cli/commands.hpp"
 #include "config/settings.hpp"
 #include "lab/bench_day.hpp"
+#include "lab/books.hpp"
 #include "lab/cost.hpp"
 #include "lab/day.hpp"
+#include "lab/virtual_day.hpp"
 
 namespace gatetiller::cli {
 
@@ -48,7 +50,7 @@
             lab::run_day(*loaded, {std::filesystem::read_symlink("/proc/self/exe").string(), *folder});
         if (!result) return void(std::fprintf(stderr, "%s\n", result.error().c_str()));
         std::fputs(lab::report_of(*result).c_str(), stdout);
-        common.code = result->judgement.violations.empty() ? 0 : 1;
+        common.code = result->judgement.violations.empty() && result->settled ? 0 : 1;
     });
 
     auto* cost =
@@ -60,6 +62,7 @@
     cost->add_option("--waiting", o->waiting, "statements that wait, and idle connections")
         ->capture_default_str();
     cost->add_option("--clients", o->clients, "that ask without a pause")->capture_default_str();
+    cost->add_flag("--ledger", o->ledger, "a front with a ledger against one without, and nothing else");
     cost->footer("Example: gatetiller lab cost --seconds 4");
     cost->callback([=, &common] {
         o->program = std::filesystem::read_symlink("/proc/self/exe").string();
@@ -69,6 +72,65 @@
         common.code = table ? 0 : 1;
     });
 
+    auto* ledger = lab->add_subcommand(
+        "ledger", "a day in virtual time, with killed fronts and failing engines, settled to the query");
+    auto v = std::make_shared<lab::VirtualDayOptions>();
+    v->folder = "records/ledger";
+    ledger->add_option("--folder", v->folder, "for the ledgers")->capture_default_str();
+    ledger->add_option("--requests", v->requests, "of the day")
+        ->check(CLI::Range(100, 10'000'000))
+        ->capture_default_str();
+    ledger->add_option("--rate", v->rate, "requests a second")
+        ->check(CLI::Range(1, 100'000))
+        ->capture_default_str();
+    ledger->add_option("--kills", v->kills, "of fronts, at drawn moments")->capture_default_str();
+    ledger->add_option("--fronts", v->fronts, "fronts")->check(CLI::Range(1, 50))->capture_default_str();
+    ledger->add_option("--engines", v->engines, "stand-in engines")
+        ->check(CLI::Range(1, 200))
+        ->capture_default_str();
+    ledger->add_option("--seed", v->seed, "of the day")->capture_default_str();
+    ledger->footer("Example: gatetiller lab ledger --requests 100000 --kills 200 --seed 1");
+    ledger->callback([=, &common] {
+        common.code = 1;
+        std::string reports[2];
+        for (auto& report : reports) {  // twice: the same to the byte
+            const auto done = lab::run_virtual_day(*v);
+            if (!done) return void(std::fprintf(stderr, "%s\n", done.error().c_str()));
+            report = done->report;
+            if (&report != reports) break;
+            std::printf(
+                "%zu requests in %.1f virtual seconds, %llu events; fronts killed %zu times, %zu gaps, the "
+                "longest %lld ms\n"
+                "work logged by engines %lld us, of it in the report %lld us\n%s",
+                done->asked, done->virtual_seconds, static_cast<unsigned long long>(done->events),
+                done->killed, done->gaps, static_cast<long long>(done->longest_gap / kMillisecond),
+                static_cast<long long>(done->logged), static_cast<long long>(done->charged),
+                (done->findings + lab::report_of(done->judgement)).c_str());
+            if (done->explained && done->logged == done->charged && done->judgement.violations.empty())
+                common.code = 0;
+        }
+        std::printf("%s\n", reports[0] == reports[1] ? "the same day twice gave the same report"
+                                                     : "THE SAME DAY TWICE GAVE TWO REPORTS");
+        if (reports[0] != reports[1]) common.code = 1;
+    });
+
+    auto* books = lab->add_subcommand("books", "a large month's ledger: writing, restart, report");
+    auto b = std::make_shared<lab::BooksOptions>();
+    b->folder = "records/books";
+    books->add_option("--folder", b->folder, "for its files")->capture_default_str();
+    books->add_option("--requests", b->requests, "of the month")
+        ->check(CLI::Range(1000, 200'000'000))
+        ->capture_default_str();
+    books->add_option("--seed", b->seed, "of what is drawn")->capture_default_str();
+    books->add_flag("!--no-journal", b->journal, "without the engines' journals");
+    books->footer("Example: gatetiller lab books --requests 1000000");
+    books->callback([=, &common] {
+        const auto table = lab::measure_books(*b);
+        if (table) std::fputs(table->c_str(), stdout);
+        else std::fprintf(stderr, "%s\n", table.error().c_str());
+        common.code = table ? 0 : 1;
+    });
+
     auto* check = app.add_subcommand("check", "the seven rules over what was recorded");
     auto paths = std::make_shared<std::vector<std::string>>();
     check->add_option("records", *paths, "folders of days, or files of records")->required();
--- a/src/decide/ledger_keeper.cpp
+++ b/src/decide/ledger_keeper.cpp
@@ -11,6 +11,13 @@
     return kNames[static_cast<int>(t)];
 }
 
+Gap killed_gap(Micros last, Micros began, Micros tail) {
+    constexpr Micros kUnsure = 10 * kSecondMicros;
+    Gap g{StoreTrouble::killed, last, std::max(began, last + tail), -1, -1};
+    if (began < last) g.from = began - kUnsure;
+    return g;
+}
+
 void Intake::lose(Micros wall, bool request) {
     ++lost_;
     if (!gap_) gap_ = Gap{StoreTrouble::lagging, wall, wall, 0, 0};
--- a/src/decide/ledger_keeper.hpp
+++ b/src/decide/ledger_keeper.hpp
@@ -32,6 +32,12 @@
     std::int64_t requests = 0, updates = 0;  // requests never written; ends of written ones lost. -1: unknown
 };
 
+// The stretch in which requests of a life that was not ended in order may be missing: from its last commit
+// (`last`) to the start of the next life (`began`), both by the wall clock. Where the clock stepped back in
+// between, nobody knows when: then it reaches further to both sides. `tail`: what a life may take in before
+// it is committed.
+Gap killed_gap(Micros last, Micros began, Micros tail);
+
 struct KeeperLimits {
     std::size_t waiting = 200'000;  // rows in the queue or in a batch that is being tried
     double new_share = 0.75;        // of it for new requests; the rest is for what written ones come to
--- a/src/decide/settle.cpp
+++ b/src/decide/settle.cpp
@@ -8,9 +8,9 @@
 namespace gatetiller::decide {
 
 const char* name_of(Finding f) {
-    constexpr const char* kNames[kFindings] = {"agreed",        "unseen_end",   "never_ran",    "unlogged",
-                                               "in_gap",        "other_life",   "direct",       "differs",
-                                               "journal_lacks", "ledger_lacks", "ran_after_all"};
+    constexpr const char* kNames[kFindings] = {"agreed",  "unseen_end",    "never_ran",    "unlogged",
+                                               "in_gap",  "other_life",    "direct",       "worked_on",
+                                               "differs", "journal_lacks", "ledger_lacks", "ran_after_all"};
     return kNames[static_cast<int>(f)];
 }
 
@@ -43,7 +43,8 @@
         // The protocol tells milliseconds; the journal is finer, and counts.
         const bool same = s.work / kMillisecond == a.work / kMillisecond &&
                           s.spilled_bytes == a.spilled_bytes && s.peak_bytes == a.peak_bytes;
-        s.finding = same ? Finding::agreed : Finding::differs;
+        const bool later = s.work > a.work && a.sent_after + ran > a.ended_after;
+        s.finding = same ? Finding::agreed : later ? Finding::worked_on : Finding::differs;
         return s;
     }
     s.finding = Finding::unseen_end;
--- a/src/decide/settle.hpp
+++ b/src/decide/settle.hpp
@@ -27,13 +27,15 @@
     in_gap,      // logged, and missing from the ledger, which states a gap there
     other_life,  // logged under the name of a front's life of which no ledger was given
     direct,      // logged, and not sent through a front that keeps a ledger
+    worked_on,   // the engine logged an end after the last document that the front had of it: its figures
+                 // count
     // What should not be. Each is a fault of a journal, of a ledger or of this program.
     differs,        // both sides have its end, with different figures
     journal_lacks,  // the front saw its end, and no journal has it
     ledger_lacks,   // logged, and missing from a ledger that states no gap there
     ran_after_all,  // the front took it for never run, and the engine logged work
 };
-constexpr int kFindings = 11;
+constexpr int kFindings = 12;
 const char* name_of(Finding finding);
 bool explained(Finding finding);
 
@@ -56,7 +58,7 @@
 // What a ledger says of its own wholeness, for queries that it lacks.
 struct LifeRecord {
     std::vector<Gap> gaps;
-    Micros clock_slack = 5 * kSecondMicros;  // between an engine's clock and the front's, and for its steps
+    Micros clock_slack = 0;  // between an engine's clock and the front's, and for its steps
 };
 // A logged query that no ledger row answers to. `life`: none where no ledger of that life was given.
 Settled settle_alone(const LoggedQuery& logged, const LifeRecord* life);
--- a/src/lab/cost.cpp
+++ b/src/lab/cost.cpp
@@ -28,7 +28,7 @@
   facts+: { reports: 'answers' },
   routes: [g.route('long', { source: 'long' }), g.route('short')],
   limits: { statements: 100000, statements_per_user: 100000, connections: 19000, idle_connections_per_engine: 512 },
-  log: { level: 'warn' },
+  log: { level: 'warn' },%s
 }
 )";
 constexpr const char* kEngine =
@@ -104,6 +104,10 @@
 
     Result<std::string> run() {
         out_ = "| what | measured |\n| --- | --- |\n";
+        if (o_.ledger) {
+            if (auto done = ledger(); !done) return Error{done.error()};
+            return out_;
+        }
         if (auto up = start(); !up) return Error{up.error()};
         latency();
         saturation();
@@ -128,17 +132,70 @@
             engine_ = *net::Address::parse(p->first_line().substr(7));
             engines_.push_back(std::move(*p));
         }
-        char text[4096];
-        std::snprintf(text, sizeof text, kFront, engines.c_str());
-        std::ofstream(o_.folder + "/front.jsonnet") << text;
-        auto p = Process::start({o_.program, "serve", "--config", o_.folder + "/front.jsonnet"},
-                                o_.folder + "/front.log", 10 * kSecondMicros);
+        auto p = start_front("front", engines, "");
         if (!p) return Error{p.error()};
         front_ = std::move(*p);
         front_at_ = *net::Address::parse(front_.first_line().substr(7));
+        if (o_.ledger) {
+            std::error_code none;
+            for (const char* part : {"", "-wal", "-shm", ".lock"})
+                std::filesystem::remove(o_.folder + "/cost.ledger" + part, none);
+            auto with =
+                start_front("keeping", engines, "\n  ledger: { file: '" + o_.folder + "/cost.ledger' },");
+            if (!with) return Error{with.error()};
+            keeping_ = std::move(*with);
+            keeping_at_ = *net::Address::parse(keeping_.first_line().substr(7));
+        }
         pass(1);
         return true;
     }
+    Result<Process> start_front(const std::string& name, const std::string& engines,
+                                const std::string& more) {
+        char text[4096];
+        std::snprintf(text, sizeof text, kFront, engines.c_str(), more.c_str());
+        const std::string file = o_.folder + "/" + name + ".jsonnet";
+        std::ofstream(file) << text;
+        return Process::start({o_.program, "serve", "--config", file}, o_.folder + "/" + name + ".log",
+                              10 * kSecondMicros);
+    }
+    // A front with a ledger beside one without, under the same load in turns.
+    Result<bool> ledger() {
+        if (auto up = start(); !up) return up;
+        for (const int clients : {1, o_.clients}) {
+            Closed off(loop_, front_at_, clients), on(loop_, keeping_at_, clients);
+            double seconds[2] = {0, 0}, cpu[2] = {0, 0};
+            for (int round = 0; round < 20; ++round)
+                for (int which : {round % 2, 1 - round % 2}) {
+                    Closed& c = which == 0 ? off : on;
+                    const pid_t pid = which == 0 ? front_.pid() : keeping_.pid();
+                    const double before = usage(pid).first;
+                    const Micros from = loop_.now();
+                    c.begin();
+                    pass(o_.seconds / 4);
+                    c.end();
+                    while (!c.idle()) loop_.turn(10 * kMillisecond);
+                    seconds[which] += static_cast<double>(loop_.now() - from) / kSecondMicros;
+                    cpu[which] += usage(pid).first - before;
+                }
+            for (int which : {0, 1}) {
+                Closed& c = which == 0 ? off : on;
+                const auto n = static_cast<double>(c.latencies_us.size());
+                const std::string what = std::string(which == 0 ? "without" : "with") + " a ledger, " +
+                                         std::to_string(clients) + " clients without pause";
+                line(what.c_str(),
+                     "%.0f a second, p50 %.3f ms, p99 %.3f ms, %.0f us of CPU each (%zu failed)",
+                     n / seconds[which], percentile(c.latencies_us, 0.5) / 1000,
+                     percentile(c.latencies_us, 0.99) / 1000, cpu[which] / n * 1e6, c.failed);
+            }
+            const auto rate = [&](Closed& c, int which) {
+                return static_cast<double>(c.latencies_us.size()) / seconds[which];
+            };
+            line("the difference", "%+.1f %% statements a second, %+.1f %% p99",
+                 100 * (rate(on, 1) / rate(off, 0) - 1),
+                 100 * (percentile(on.latencies_us, 0.99) / percentile(off.latencies_us, 0.99) - 1));
+        }
+        return true;
+    }
     void pass(double seconds) {
         for (const Micros end = loop_.now() + static_cast<Micros>(seconds * kSecondMicros);
              loop_.now() < end;)
@@ -256,7 +313,8 @@
     net::PollLoop loop_;
     std::vector<Process> engines_;
     Process front_;
-    net::Address engine_, front_at_;
+    Process keeping_;
+    net::Address engine_, front_at_, keeping_at_;
     std::string out_;
 };
 
--- a/src/lab/cost.hpp
+++ b/src/lab/cost.hpp
@@ -15,7 +15,8 @@
     double seconds = 4;  // of each phase
     int waiting = 9000;  // statements and idle connections; bounded by the process's descriptors
     int engines = 2;
-    int clients = 64;  // that ask one statement after another, for saturation
+    int clients = 64;     // that ask one statement after another, for saturation
+    bool ledger = false;  // only: statements a second with a ledger against without, in turns
 };
 
 Result<std::string> measure_cost(const CostOptions& options);  // a table in Markdown
--- a/src/lab/day.hpp
+++ b/src/lab/day.hpp
@@ -19,6 +19,8 @@
     std::size_t asked = 0;
     std::vector<double> latencies_ms;
     double seconds = 0;
+    std::string settlement;  // findings of the settlement; empty: no ledgers were kept
+    bool settled = true;     // every difference is explained, and reporting twice gave the same text
 };
 
 Result<DayResult> run_day(const Script& script, const DayOptions& options);
--- a/src/lab/script.cpp
+++ b/src/lab/script.cpp
@@ -71,6 +71,8 @@
     top.span("settle", s.settle);
     top.count("fronts", s.fronts, 1, 1000);
     top.span("notice", s.notice);
+    top.flag("ledger", s.ledger);
+    top.count("kills", s.kills, 0, 1e5);
     top.object("traffic", [&](Reader& r) { read_traffic(r, s.traffic); });
     top.each("engines", [&](const std::string& group, Reader& r) {
         EngineGroup g;
--- a/src/lab/script.hpp
+++ b/src/lab/script.hpp
@@ -39,6 +39,9 @@
         500 * kMillisecond;  // until the list tells of a change, drawn between half and one and a half
     Traffic traffic;
     std::vector<Trouble> troubles;
+    bool ledger =
+        false;      // fronts keep ledgers, engines tell of completed queries, and both are settled after
+    int kills = 0;  // so many times a front, drawn, is killed at a moment, drawn, and started again
 };
 
 Result<Script> load_script(const std::string& name, const std::string& text);
--- a/src/report/report.cpp
+++ b/src/report/report.cpp
@@ -58,6 +58,7 @@
     store::Ledger& ledger = books.ledger();
     std::map<std::string, decide::LifeRecord> records;
     if (auto f = books.lives(records)) return Error{f.text};
+    for (auto& [name, record] : records) record.clock_slack += settlement.clock_slack;
     std::vector<store::Life> lives;
     if (auto f = ledger.lives(lives)) return Error{f.text};
     std::map<std::string, std::uint32_t> number_of_life;  // the same whatever order the lives came in
--- a/src/report/settlement.cpp
+++ b/src/report/settlement.cpp
@@ -54,6 +54,7 @@
         }
         top.text("currency", s.currency);
         top.count("decimals", s.decimals, 0, 9);
+        top.span("clock_slack", s.clock_slack);
         top.each("teams", [&](const std::string& id, Reader& r) {
             auto& names = s.teams[id];
             std::string always;
--- a/src/report/settlement.hpp
+++ b/src/report/settlement.hpp
@@ -10,6 +10,7 @@
 struct Settlement {
     std::string zone = "UTC", currency = "units";
     int decimals = 2;
+    Micros clock_slack = 5 * kSecondMicros;  // by which engines' clocks may differ from fronts', for gaps
     std::map<std::string, std::vector<decide::TeamName>> teams;
     std::vector<decide::TeamRule> rules;
     std::vector<decide::Price> prices;
--- /dev/null
+++ b/src/sim/virtual_loop.cpp
@@ -0,0 +1,200 @@
+#include "sim/virtual_loop.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace gatetiller::sim {
+
+using net::Closed;
+
+// One end of a connection. Bytes that arrive while nobody reads wait here, as in a kernel's buffer.
+struct VirtualLoop::End final : std::enable_shared_from_this<End> {
+    explicit End(VirtualLoop& l) : loop(l) {}
+
+    void send(std::string bytes) {
+        if (!open || bytes.empty()) return;
+        if (connecting) return void(early.append(bytes));
+        const auto to = other.lock();
+        if (!to) return;
+        if (unsent == 0)
+            loop.after(0, [self = shared_from_this()] {
+                self->unsent = 0;
+                if (self->owner) self->owner->on_sent();
+            });
+        unsent += bytes.size();
+        to->arriving([to, bytes = std::move(bytes)] {
+            if (!to->open) return;
+            to->waiting.append(bytes);
+            to->deliver();
+        });
+    }
+    // What comes over the network keeps its order.
+    void arriving(std::function<void()> what) {
+        last_arrival = std::max(last_arrival, loop.now_ + loop.delay());
+        loop.after(last_arrival - loop.now_, std::move(what));
+    }
+    void deliver() {
+        if (!reading || !owner) return;
+        if (!waiting.empty()) {
+            in.append(std::exchange(waiting, {}));
+            owner->on_data(in);
+        }
+        if (reading && open && closing && waiting.empty()) end(*closing);
+    }
+    void end(Closed how) {
+        if (!std::exchange(open, false)) return;
+        loop.cancel(std::exchange(connect_timer, 0));
+        if (net::StreamEvents* told = std::exchange(owner, nullptr)) told->on_closed(how);
+    }
+    void drop() {
+        owner = nullptr;
+        loop.cancel(std::exchange(connect_timer, 0));
+        if (!std::exchange(open, false)) return;
+        if (const auto to = other.lock())
+            to->arriving([to] {
+                to->closing = Closed::by_peer;
+                to->deliver();
+            });
+    }
+
+    VirtualLoop& loop;
+    std::weak_ptr<End> other;
+    net::StreamEvents* owner = nullptr;
+    Buffer in;
+    std::string waiting, early, peer;
+    std::size_t unsent = 0;
+    bool open = true, reading = true, connecting = false, offering = false;
+    std::optional<Closed> closing;
+    Micros last_arrival = 0;
+    net::TimerId connect_timer = 0;
+};
+
+class VirtualLoop::EndStream final : public net::Stream {
+public:
+    explicit EndStream(std::shared_ptr<End> end) : end_(std::move(end)) {}
+    ~EndStream() override { end_->drop(); }
+    void events(net::StreamEvents& to) override { end_->owner = &to; }
+    void send(std::string bytes) override { end_->send(std::move(bytes)); }
+    std::size_t unsent() const override { return end_->unsent + end_->early.size(); }
+    void read(bool on) override {
+        if (std::exchange(end_->reading, on) == on || !on) return;
+        end_->loop.after(0, [e = end_] { e->deliver(); });
+    }
+    void offer() override {
+        if (end_->in.empty() || std::exchange(end_->offering, true)) return;
+        end_->loop.after(0, [e = end_] {
+            e->offering = false;
+            if (e->owner && !e->in.empty()) e->owner->on_data(e->in);
+        });
+    }
+    const std::string& peer() const override { return end_->peer; }
+
+private:
+    std::shared_ptr<End> end_;
+};
+
+struct VirtualLoop::Door {
+    net::Address address;
+    std::function<void(std::unique_ptr<net::Stream>)> accepted;
+};
+
+class VirtualLoop::DoorListener final : public net::Listener {
+public:
+    explicit DoorListener(std::shared_ptr<Door> door) : door_(std::move(door)) {}
+    const net::Address& address() const override { return door_->address; }
+
+private:
+    std::shared_ptr<Door> door_;  // the loop holds it weakly: closed when this goes
+};
+
+VirtualLoop::VirtualLoop(VirtualSettings settings) : settings_(settings), random_(settings.seed) {}
+VirtualLoop::~VirtualLoop() = default;
+
+Micros VirtualLoop::delay() {
+    return settings_.delay_low + static_cast<Micros>(random_.below(static_cast<std::uint64_t>(
+                                     settings_.delay_high - settings_.delay_low + 1)));
+}
+
+net::TimerId VirtualLoop::after(Micros delay, std::function<void()> call) {
+    const net::TimerId id = ++last_;
+    const Micros at = now_ + std::max<Micros>(0, delay);
+    when_.emplace(id, at);
+    due_.emplace(std::pair(at, id), std::move(call));
+    return id;
+}
+
+void VirtualLoop::cancel(net::TimerId timer) {
+    const auto found = when_.find(timer);
+    if (found == when_.end()) return;
+    due_.erase({found->second, timer});
+    when_.erase(found);
+}
+
+bool VirtualLoop::step() {
+    if (due_.empty()) return false;
+    auto event = due_.extract(due_.begin());
+    when_.erase(event.key().second);
+    now_ = event.key().first;
+    ++events_done_;
+    event.mapped()();
+    return true;
+}
+
+bool VirtualLoop::run(const std::function<bool()>& until, Micros longest) {
+    for (const Micros end = now_ + longest; !until();) {
+        if (due_.empty() || due_.begin()->first.first > end) {
+            now_ = std::max(now_, end);
+            return until();
+        }
+        step();
+    }
+    return true;
+}
+
+Result<std::unique_ptr<net::Listener>> VirtualLoop::listen(
+    const net::Address& at, std::function<void(std::unique_ptr<net::Stream>)> accepted) {
+    auto door = std::make_shared<Door>();
+    door->address = at;
+    if (at.port == 0 && at.family != net::Address::Family::local) door->address.port = next_port_++;
+    auto& place = doors_[door->address.text()];
+    if (!place.expired()) return Error{"cannot listen on " + door->address.text() + ": it is taken"};
+    door->accepted = std::move(accepted);
+    place = door;
+    return std::unique_ptr<net::Listener>(std::make_unique<DoorListener>(std::move(door)));
+}
+
+std::unique_ptr<net::Stream> VirtualLoop::connect(const net::Address& to, net::StreamEvents& events,
+                                                  Micros time_out) {
+    auto mine = std::make_shared<End>(*this);
+    mine->owner = &events;
+    mine->connecting = true;
+    mine->peer = to.text();
+    mine->connect_timer = after(time_out, [mine] {
+        mine->connect_timer = 0;
+        mine->end(Closed::too_late);
+    });
+    after(delay(), [this, mine, to] {
+        if (!mine->open) return;
+        const auto found = doors_.find(to.text());
+        const auto door = found == doors_.end() ? nullptr : found->second.lock();
+        if (!door) {
+            after(delay(), [mine] { mine->end(Closed::refused); });
+            return;
+        }
+        auto theirs = std::make_shared<End>(*this);
+        theirs->other = mine, mine->other = theirs;
+        theirs->peer = "127.0.0.1:" + std::to_string(next_port_);
+        mine->arriving([mine] {
+            if (!mine->open) return;
+            mine->loop.cancel(std::exchange(mine->connect_timer, 0));
+            mine->connecting = false;
+            if (mine->owner) mine->owner->on_connected();
+            mine->send(std::exchange(mine->early, {}));
+        });
+        door->accepted(std::make_unique<EndStream>(std::move(theirs)));
+    });
+    return std::make_unique<EndStream>(std::move(mine));
+}
+
+}  // namespace gatetiller::sim
--- a/src/store/ledger.cpp
+++ b/src/store/ledger.cpp
@@ -19,6 +19,8 @@
 using decide::Who;
 
 constexpr std::int64_t kApplication = 0x67744c31;  // in the file's head: this is a ledger
+// A flush, a commit, and the steps of a clock that are too small to be noticed.
+constexpr Micros kTail = 300 * kMillisecond;
 constexpr std::size_t kNamesHeld = 20'000;
 constexpr int kLifeShift = 32;
 
@@ -143,7 +145,7 @@
         {&put_gap_,
          "INSERT OR IGNORE INTO gaps(life,cause,since,until,requests,updates) VALUES(?,?,?,?,?,?)"},
         {&put_step_, "INSERT OR IGNORE INTO clock_steps VALUES(?,?,?)"},
-        {&touch_, "UPDATE lives SET last=max(last,?) WHERE row=?"},
+        {&touch_, "UPDATE lives SET last=? WHERE row=?"},
         {&find_who_, "SELECT row FROM who WHERE user=? AND source=? AND tags=? AND class=? AND tenant=?"},
         {&add_who_, "INSERT INTO who(user,source,tags,class,tenant) VALUES(?,?,?,?,?)"},
         {&find_engine_, "SELECT row FROM engines WHERE name=? AND kind=?"},
@@ -225,12 +227,7 @@
             return f;
         if (!before.empty() && before.back().ended == 0) {
             const Life& last = before.back();
-            // A clock that stepped back must not turn the gap around.
-            taken.killed =
-                Gap{StoreTrouble::killed, std::min(last.last, wall), std::max(last.last, wall), -1, -1};
-            life_ = last.row;
-            Batch gap;
-            gap.gaps.push_back(*taken.killed);
+            taken.killed = decide::killed_gap(last.last, wall, kTail);
             put_gap_.bind(0, last.row).bind(1, static_cast<int>(StoreTrouble::killed));
             put_gap_.bind(2, taken.killed->from).bind(3, taken.killed->to).bind(4, -1).bind(5, -1);
             if (auto f = put_gap_.run()) return f;
@@ -242,7 +239,7 @@
 }
 
 Failure Ledger::end_life(Micros wall) {
-    auto s = db_.prepare("UPDATE lives SET last=max(last,?), ended=? WHERE row=?");
+    auto s = db_.prepare("UPDATE lives SET last=?, ended=? WHERE row=?");
     s.bind(0, wall).bind(1, wall).bind(2, life_);
     return s.run();
 }
