A front that starts does not take engines for warm, nor push cold ones again after a kill

Two holes: until it had asked an engine for its state, a starting front took it for warm; and after a kill the next life did not know what its predecessor had just sent to cold engines.

Change: an engine that will be asked for its state gets nothing before it has answered or 100 ms have passed; with a ledger, a life whose predecessor was killed lets cold engines be for `overload_for`. Both in decide/engine_watch, as the state that the module is told; the module is untouched.

--- a/src/decide/engine_watch.hpp
+++ b/src/decide/engine_watch.hpp
@@ -17,13 +17,21 @@
     // list and the outcomes of attempts decide, since a check that fails may be the check's own fault.
     bool said(Micros now, bool shutting_down, bool starting, std::optional<Micros> uptime);
 
+    // It will be asked for its state: until it has answered, or could not be asked, nothing is sent to it. It
+    // may be cold, and this front, just started, would take it for warm.
+    bool will_be_asked();
+    bool could_not_be_asked();
+    // Until then a cold engine gets nothing: a front that was killed sent it what its next life can't know
+    // of, and both together must not push it over.
+    bool hold_while_cold(Micros now, Micros until, Micros warm_up);
+
     const EngineEntry& entry() const { return entry_; }
 
 private:
     bool settle();
 
     EngineEntry list_, entry_;
-    bool shutting_down_ = false, starting_ = false;
+    bool shutting_down_ = false, starting_ = false, unheard_ = false, held_ = false;
     Micros came_up_ = 0;  // by its own word
 };
 
--- a/src/front/engines.cpp
+++ b/src/front/engines.cpp
@@ -7,15 +7,26 @@
 #include "statement/load_report.hpp"
 
 namespace gatetiller::front {
+namespace {
+
+constexpr Micros kFirstWord = 100 * kMillisecond;  // that a new engine has for telling its state
+
+}  // namespace
+
 Engines::Engines(net::Loop& loop, const config::FrontSettings& s, Events events)
     : loop_(loop),
       roster_(s.roster),
       own_(s.engines),
       client_options_(s.client),
       name_(s.name),
-      events_(std::move(events)) {}
+      events_(std::move(events)),
+      warm_up_(s.module.warm_up) {}
 
-Engines::~Engines() { loop_.cancel(watching_); }
+Engines::~Engines() {
+    loop_.cancel(watching_);
+    loop_.cancel(holding_);
+    loop_.cancel(first_word_);
+}
 
 void Engines::start() {
     // Until a source's first list comes the last one is what is known, or else the configuration's engines.
@@ -72,6 +83,11 @@
             engine = std::make_unique<Engine>();
             engine->id = id;
             engine->client = std::make_unique<http::Client>(loop_, settings.address, client_options_);
+            if (roster_.watch_every > 0) {
+                engine->watch.will_be_asked();
+                fresh_.push_back(id);
+                if (first_word_ == 0) first_word_ = loop_.after(kFirstWord, [this] { enough_waited(); });
+            }
         }
         engine->settings = settings;
         engine->watch.listed(
@@ -109,9 +125,12 @@
     const Micros limit = std::max(roster_.watch_every, kSecondMicros);
     e.info = e.client->send(
         {"GET", "/v1/info", 1, headers, {}, {}}, limit, [this, &e, headers, limit](http::Answer a) {
-            if (a.reached != http::Reached::answered || a.response.status != 200) return;
+            const auto unheard = [&] {
+                if (e.watch.could_not_be_asked()) changed(e);
+            };
+            if (a.reached != http::Reached::answered || a.response.status != 200) return unheard();
             const auto found = statement::members(a.response.body);
-            if (!found) return;
+            if (!found) return unheard();
             e.starting = false, e.uptime.reset();
             for (const auto& m : *found) {
                 if (m.key == "starting") e.starting = m.raw == "true";
@@ -122,14 +141,37 @@
             e.state = e.client->send(
                 {"GET", "/v1/info/state", 1, headers, {}, {}}, limit, [this, &e](http::Answer s) {
                     const bool told = s.reached == http::Reached::answered && s.response.status == 200;
-                    if (!told) return;
+                    if (!told) {
+                        if (e.watch.could_not_be_asked()) changed(e);
+                        return;
+                    }
                     const bool ends =
                         statement::as_string(trimmed(s.response.body)).value_or("") == "SHUTTING_DOWN";
-                    if (e.watch.said(loop_.now(), ends, e.starting, e.uptime)) changed(e);
+                    const bool news = e.watch.said(loop_.now(), ends, e.starting, e.uptime);
+                    const bool held = e.watch.hold_while_cold(loop_.now(), hold_until_, warm_up_);
+                    if (news || held) changed(e);
                 });
         });
 }
 
+void Engines::enough_waited() {
+    first_word_ = 0;
+    for (const EngineId id : std::exchange(fresh_, {}))
+        if (Engine* e = find(id); e && e->watch.could_not_be_asked()) changed(*e);
+}
+
+void Engines::hold_cold(Micros until) {
+    hold_until_ = until;
+    loop_.cancel(std::exchange(holding_, 0));
+    for (auto& [id, e] : engines_)
+        if (e->watch.hold_while_cold(loop_.now(), until, warm_up_)) changed(*e);
+    if (until > loop_.now())
+        holding_ = loop_.after(until - loop_.now(), [this] {
+            holding_ = 0;
+            hold_cold(0);
+        });
+}
+
 void Engines::probe(EngineId id, std::function<void(Micros, Outcome, std::optional<Report>)> done) {
     Engine* e = find(id);
     if (!e) return done(0, Outcome::skipped, std::nullopt);
--- a/src/front/engines.hpp
+++ b/src/front/engines.hpp
@@ -38,6 +38,8 @@
     void start();  // the first list, then watching
     void ask();    // the module wants the list
     void reload(const config::FrontSettings& settings);
+    // Cold engines get nothing until then; an earlier moment than now lets them go.
+    void hold_cold(Micros until);
     Engine* find(EngineId id);
     const std::map<EngineId, std::unique_ptr<Engine>>& all() const { return engines_; }
     // Asks an engine for its load; `done` gets the time taken and how it went.
@@ -49,6 +51,7 @@
     void watch();
     void ask_state(Engine& e);
     void changed(Engine& e);
+    void enough_waited();
 
     net::Loop& loop_;
     config::RosterSettings roster_;
@@ -60,7 +63,9 @@
     std::map<EngineId, std::unique_ptr<Engine>> engines_;
     std::map<std::string, EngineId> ids_;  // by name and address: a name that moves is another engine
     EngineId last_id_ = 0;
-    net::TimerId watching_ = 0;
+    std::vector<EngineId> fresh_;  // new, and not asked yet
+    net::TimerId watching_ = 0, holding_ = 0, first_word_ = 0;
+    Micros warm_up_, hold_until_ = 0;
 };
 
 }  // namespace gatetiller::front
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -138,6 +138,8 @@
         bound.push_back(*address);
     }
     for (const Action& action : brain_.start()) carry_out(action);
+    // Until the ledger tells whether a life before was killed, cold engines are not pushed by both.
+    if (deps_.ledger) engines_.hold_cold(loop_.now() + 3 * deps_.ledger->flush_every());
     engines_.start();
     if (deps_.ledger) look_in_ledger();
     return bound;
@@ -597,6 +599,10 @@
 
 void Front::look_in_ledger() {
     for (const auto& text : deps_.ledger->look(loop_.now(), loop_.wall())) deps_.log(text);
+    if (const auto before = deps_.ledger->before(); before.known && !std::exchange(before_known_, true)) {
+        // What was sent after its last commit may be as young as this life.
+        engines_.hold_cold(before.killed ? loop_.now() + settings_.module.overload_for : 0);
+    }
     for (const auto& p : deps_.ledger->take_past())
         quota_.restore(teams_.of({p.who->user, p.who->source, p.who->tags, "", p.who->tenant}, 0),
                        loop_.now(), loop_.wall() - p.taken, p.work);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -98,6 +98,7 @@
     std::vector<std::string> to_free_;
     bool posting_ = false, draining_ = false, drain_over_ = false;
     std::function<void()> drained_;
+    bool before_known_ = false;  // how the life before ended, by the ledger
     net::TimerId drain_timer_ = 0, free_timer_ = 0, ledger_timer_ = 0;
     std::map<std::int64_t, net::TimerId> bells_;
     std::int64_t last_bell_ = 0;
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -95,6 +95,11 @@
     return std::exchange(past_, {});
 }
 
+LedgerWriter::Before LedgerWriter::before() const {
+    const std::lock_guard guard(mutex_);
+    return before_;
+}
+
 void LedgerWriter::start_thread() {
     // Signals are the loop's: a thread that doesn't block them would take them in its place.
     sigset_t all, before;
@@ -197,6 +202,10 @@
         say("ledger: the life before was not ended in order: " + std::to_string(taken.requests_interrupted) +
             " requests and " + std::to_string(taken.attempts_interrupted) +
             " attempts in hand are marked as interrupted");
+    {
+        const std::lock_guard guard(mutex_);
+        if (!std::exchange(before_.known, true) && taken.killed) before_.killed = taken.killed->from;
+    }
     if (settings_.past > 0 && !std::exchange(past_read_, true)) {
         std::vector<Ledger::Past> past;
         if (const auto f = ledger_.work_since(pending_.wall - settings_.past, settings_.past / 60, past))
--- a/src/store/writer.hpp
+++ b/src/store/writer.hpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include "store/ledger.hpp"
@@ -52,6 +53,12 @@
     WriterStatus status() const;
     // What was read back, once, as soon as the ledger is open.
     std::vector<Ledger::Past> take_past();
+    // Once the ledger is open: until when (wall clock) the life before had written, where it was killed.
+    struct Before {
+        bool known = false;
+        std::optional<Micros> killed;
+    };
+    Before before() const;
     void start_thread();
     // Writes what waits, marks the life as ended in order, lets go of the file. What could not be written is
     // told.
@@ -78,6 +85,7 @@
     Micros shared_now_ = 0;
     std::vector<std::string> words_;
     std::vector<Ledger::Past> past_;
+    Before before_;
     bool work_ = false, stop_ = false;
     decide::StoreTrouble trouble_ = decide::StoreTrouble::none, last_trouble_ = decide::StoreTrouble::none;
     std::int64_t committed_ = 0, batches_ = 0;
--- a/tests/decide/decide_test.cpp
+++ b/tests/decide/decide_test.cpp
@@ -184,5 +184,31 @@
     EXPECT_EQ(time_left(500'000, 600'000, 50'000), 0);
 }
 
+// A front that has just started takes no engine for warm before it has heard of it, and lets cold ones be
+// while the life before it may have pushed them.
+TEST(EngineWatch, NothingGoesToAnEngineThatMayBeColdUnknown) {
+    const EngineEntry listed{1, EngineState::on, "z", "k", 0, 0, 1};
+    const Micros now = 100 * kSecondMicros, warm_up = 15 * kSecondMicros;
+    EngineWatch w;
+    w.will_be_asked();
+    w.listed(listed);
+    EXPECT_EQ(w.entry().state, EngineState::fading);
+    EngineWatch unanswered = w;
+    EXPECT_TRUE(unanswered.could_not_be_asked());
+    EXPECT_EQ(unanswered.entry().state, EngineState::on);
+    EXPECT_TRUE(w.said(now, false, false, 3 * kSecondMicros));
+    EXPECT_EQ(w.entry().state, EngineState::on);
+    EXPECT_EQ(w.entry().came_up, now - 3 * kSecondMicros);
+    EXPECT_TRUE(w.hold_while_cold(now, now + kSecondMicros, warm_up));
+    EXPECT_EQ(w.entry().state, EngineState::fading);
+    EXPECT_TRUE(w.hold_while_cold(now + kSecondMicros, now + kSecondMicros, warm_up));
+    EXPECT_EQ(w.entry().state, EngineState::on);
+    // A warm one is never held, and one that drains goes on draining.
+    EXPECT_FALSE(w.hold_while_cold(now + warm_up, now + 2 * warm_up, warm_up));
+    w.said(now + warm_up, true, false, std::nullopt);
+    EXPECT_FALSE(w.hold_while_cold(now + warm_up, 0, warm_up));
+    EXPECT_EQ(w.entry().state, EngineState::fading);
+}
+
 }  // namespace
 }  // namespace gatetiller::decide
--- a/tests/decide/quota_test.cpp
+++ b/tests/decide/quota_test.cpp
@@ -151,8 +151,9 @@
         const Micros down = taken + upto(3 * kSecondMicros);
         const auto wall = [&](Micros after) { return last + after + (after >= step_at ? step : 0); };
         const Gap g = killed_gap(last, wall(down), tail);
-        // An engine's clock goes on as it did; one that steps along with the front's is covered too, but where
-        // the step came within the tail and the front was down for longer than it: nothing tells of it then.
+        // An engine's clock goes on as it did; one that steps along with the front's is covered too, but
+        // where the step came within the tail and the front was down for longer than it: nothing tells of it
+        // then.
         EXPECT_GE(last + taken, g.from) << "seed " << seed;
         EXPECT_LE(last + taken, g.to) << "seed " << seed;
         if (step_at <= taken && wall(down) >= last) continue;
--- a/tests/front/whole.hpp
+++ b/tests/front/whole.hpp
@@ -196,6 +196,11 @@
         EXPECT_TRUE(until([&] { return done; }));
         return got;
     }
+    bool all_engines_on() const {
+        const auto& all = front_->engines().all();
+        return std::all_of(all.begin(), all.end(),
+                           [](const auto& e) { return e.second->watch.entry().state == EngineState::on; });
+    }
     int count(const std::string& event, const std::string& trace = "") const {
         int n = 0;
         for (const auto& e : journal) n += e.event == event && (trace.empty() || e.trace == trace);
--- a/tests/lab/broken_front_test.cpp
+++ b/tests/lab/broken_front_test.cpp
@@ -70,14 +70,15 @@
     bool deaf = false;
     for (const bool whole : {true, false}) {
         Whole w(2, "rules+: { drain_grace: '200ms' }");
-        // A front that is restarted deaf to drains: it still asks for the state, as the sockets show.
-        deaf = !whole;
+        // Deaf to drains from then on: it still asks for the state, as the sockets show.
         w.drop_event = [&](const Event& e) {
             const auto* change = std::get_if<ListChange>(&e);
             return deaf && change && !change->engines.empty() &&
                    change->engines[0].state == EngineState::fading;
         };
         w.restart();
+        ASSERT_TRUE(w.until([&] { return w.all_engines_on(); }));
+        deaf = !whole;
         w.engine(0).drain();
         // Longer than an engine that turned something away is left alone.
         w.ask("SELECT 1 /* gt: work_ms=1500 */", "long");
