--- a/src/cli/report.cpp
+++ b/src/cli/report.cpp
@@ -57,12 +57,20 @@
     return true;
 }
 
+Result<report::Calendar> calendar_of(const Options& o, const std::string& zone) {
+    return o.month.empty() ? report::Calendar::days(zone, o.from, o.until)
+                           : report::Calendar::month(zone, o.month);
+}
+
+Result<report::Settlement> settlement_of(const Options& o) {
+    return o.settlement.empty() ? Result<report::Settlement>(report::Settlement{})
+                                : report::load_settlement(o.settlement);
+}
+
 Result<report::Report> report_of(store::Books& books, const Options& o) {
-    const auto settlement = o.settlement.empty() ? Result<report::Settlement>(report::Settlement{})
-                                                 : report::load_settlement(o.settlement);
+    const auto settlement = settlement_of(o);
     if (!settlement) return Error{settlement.error()};
-    auto calendar = o.month.empty() ? report::Calendar::days(settlement->zone, o.from, o.until)
-                                    : report::Calendar::month(settlement->zone, o.month);
+    auto calendar = calendar_of(o, settlement->zone);
     if (!calendar) return Error{calendar.error()};
     report::Ask ask;
     for (const auto& name : o.list) {
@@ -124,9 +132,11 @@
 int diff(const Options& o) {
     store::Books books;
     if (const auto f = books.open(o.books, true)) return failed(f.text);
-    const auto r = report_of(books, o);
-    if (!r) return failed(r.error());
-    const auto all = report::versions(books, report::period_of(*r));
+    const auto settlement = settlement_of(o);
+    if (!settlement) return failed(settlement.error());
+    const auto calendar = calendar_of(o, settlement->zone);
+    if (!calendar) return failed(calendar.error());
+    const auto all = report::versions(books, report::period_of(*calendar));
     if (!all) return failed(all.error());
     const auto has = [&](std::int64_t n) { return n >= 1 && n <= static_cast<std::int64_t>(all->size()); };
     if (!has(o.before) || !has(o.after))
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -77,7 +77,7 @@
                                   " and its engines; raise the limit (ulimit -n) or lower the setting"));
     net::PollLoop loop;
     std::ofstream records;
-    if (!settings.records.empty()) records.open(settings.records, std::ios::app);
+    if (!settings.records.empty()) records = lab::append_lines(settings.records);
     net::TapLoop tapped(loop, [&](const net::TapEvent& e) {
         records << lab::line_of(lab::record_of(settings.name, e)) << std::flush;
     });
@@ -114,9 +114,9 @@
     }
     net::PollLoop loop;
     std::ofstream journal;
-    if (!settings->journal.empty()) journal.open(settings->journal, std::ios::app);
+    if (!settings->journal.empty()) journal = lab::append_lines(settings->journal);
     std::ofstream events;
-    if (!settings->events.empty()) events.open(settings->events, std::ios::app);
+    if (!settings->events.empty()) events = lab::append_lines(settings->events);
     // Flushed line by line: a killed engine's must be whole.
     engine::Service service(
         loop, *settings, entropy,
--- a/src/lab/records.cpp
+++ b/src/lab/records.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 
 namespace gatetiller::lab {
@@ -163,6 +164,20 @@
     std::stable_sort(engines.begin(), engines.end(), by([](const EngineRecord& r) { return r.entry.at; }));
 }
 
+std::ofstream append_lines(const std::string& file) {
+    std::error_code error;
+    if (const auto size = std::filesystem::file_size(file, error); !error && size > 0) {
+        std::ifstream in(file, std::ios::binary);
+        std::uintmax_t end = size;  // behind the last line that is whole
+        for (char c = 0; end > 0; --end) {
+            in.seekg(static_cast<std::streamoff>(end - 1));
+            if (!in.get(c) || c == '\n') break;
+        }
+        if (end < size) std::filesystem::resize_file(file, end, error);
+    }
+    return std::ofstream(file, std::ios::app);
+}
+
 Result<bool> read_records(const std::string& name, const std::string& text, Records& to) {
     std::size_t line = 0;
     for (std::size_t at = 0; at < text.size();) {
--- a/src/lab/records.hpp
+++ b/src/lab/records.hpp
@@ -3,6 +3,7 @@
 // clock.
 #pragma once
 
+#include <fstream>
 #include <map>
 #include <optional>
 #include <string>
@@ -79,6 +80,10 @@
 std::string line_of(const Facts& f);
 SocketRecord record_of(const std::string& front, const net::TapEvent& e);
 
+// Opens a file of lines for more of them. A last line without its end, as a killed process leaves it, is cut off
+// first: what follows would run into it.
+std::ofstream append_lines(const std::string& file);
+
 // Reads lines of all kinds into `to`. A line cut short at the end of a file, as a killed process leaves it,
 // is passed over; anything else that can't be read is an error with its line.
 Result<bool> read_records(const std::string& name, const std::string& text, Records& to);
--- a/src/report/report.cpp
+++ b/src/report/report.cpp
@@ -201,8 +201,8 @@
 
 // ---- Versions
 
-std::string period_of(const Report& r) {
-    return r.calendar.zone() + " " + r.calendar.dates().front() + " " + r.calendar.dates().back();
+std::string period_of(const Calendar& c) {
+    return c.zone() + " " + c.dates().front() + " " + c.dates().back();
 }
 
 Result<std::vector<Version>> versions(store::Books& books, const std::string& period) {
@@ -215,7 +215,7 @@
 }
 
 Result<Kept> keep_version(store::Books& books, const Report& report, Micros wall) {
-    const std::string period = period_of(report);
+    const std::string period = period_of(report.calendar);
     const auto before = versions(books, period);
     if (!before) return Error{before.error()};
     const Json now = to_json(report);
--- a/src/report/report.hpp
+++ b/src/report/report.hpp
@@ -67,6 +67,6 @@
     std::string difference;  // to the version before
 };
 Result<Kept> keep_version(store::Books& books, const Report& report, Micros wall);
-std::string period_of(const Report& report);
+std::string period_of(const Calendar& calendar);
 
 }  // namespace gatetiller::report
--- a/src/statement/completed.cpp
+++ b/src/statement/completed.cpp
@@ -11,6 +11,9 @@
 
 using Json = nlohmann::json;
 
+// Far beyond any query; what is summed over a month of these still fits.
+constexpr double kMostSeconds = 1e8;
+constexpr std::int64_t kMostBytes = 1'000'000'000'000'000;
 constexpr Micros kDay = 86'400 * kSecondMicros;
 
 // Howard Hinnant's algorithm for the proleptic Gregorian calendar.
@@ -53,7 +56,7 @@
         seconds += *n * unit;
         at = end + 1;
     }
-    if (!(std::abs(seconds) < 1e12)) return wrong;
+    if (!(seconds >= 0 && seconds < kMostSeconds)) return wrong;
     return static_cast<Micros>(std::llround(seconds * kSecondMicros));
 }
 
@@ -124,14 +127,15 @@
     };
     const auto whole = [&](const Json& in, const char* name, std::int64_t& to) {
         if (const Json* v = find(in, name)) {
-            if (v->is_number_integer() && v->get<std::int64_t>() >= 0) to = v->get<std::int64_t>();
+            if (v->is_number_integer() && v->get<std::int64_t>() >= 0 && v->get<std::int64_t>() < kMostBytes)
+                to = v->get<std::int64_t>();
             else wrong = std::string(name) + " is not a number of bytes or rows";
         }
     };
     const auto span = [&](const Json& in, const char* name, Micros& to) {
         const Json* v = find(in, name);
         if (!v) return;
-        if (v->is_number() && std::abs(v->get<double>()) < 1e12)
+        if (v->is_number() && v->get<double>() >= 0 && v->get<double>() < kMostSeconds)
             to = static_cast<Micros>(std::llround(v->get<double>() * kSecondMicros));
         else if (const auto t =
                      v->is_string() ? read_iso_span(v->get<std::string>()) : Result<Micros>(Error{"it"});
@@ -142,11 +146,11 @@
     const auto time = [&](const char* name, Micros& to) {
         const Json* v = find(j, name);
         if (!v) return void(wrong = std::string(name) + " is missing");
-        if (v->is_number() && std::abs(v->get<double>()) < 1e11) {
+        if (v->is_number() && v->get<double>() >= 0 && v->get<double>() < 1e11) {
             to = static_cast<Micros>(std::llround(v->get<double>() * kSecondMicros));
         } else {
             const auto t = v->is_string() ? read_utc(v->get<std::string>()) : Result<Micros>(Error{"it"});
-            if (t) to = *t;
+            if (t && *t >= 0) to = *t;
             else wrong = std::string(name) + " is not a time";
         }
     };
--- a/src/store/books.cpp
+++ b/src/store/books.cpp
@@ -99,6 +99,8 @@
 Result<Collected> Books::collect_ledger(const std::string& file) {
     Ledger from;
     if (auto f = from.open(file, {"", true})) return Error{f.text};
+    // One view of the ledger for all that follows, while its front goes on writing.
+    if (auto f = from.db().exec("BEGIN")) return Error{f.text};
     Collected c;
     std::vector<Life> lives;
     if (auto f = from.lives(lives)) return Error{f.text};
@@ -142,9 +144,14 @@
     // Gaps of its own; and where rows could not be read, the whole of its lives is not sure.
     auto put_gap = db.prepare(
         "INSERT OR REPLACE INTO gaps(life,cause,since,until,requests,updates) VALUES(?,?,?,?,?,?)");
+    auto old_gap = db.prepare("DELETE FROM gaps WHERE cause=0 AND since=?");
     auto gaps = from.db().prepare("SELECT life,cause,since,until,requests,updates FROM gaps");
     while (gaps.step()) {
         const auto name = names.find(gaps.number(0));
+        if (gaps.number(1) == static_cast<int>(StoreTrouble::none)) {  // removed by age: the same gap, grown
+            old_gap.bind(0, gaps.number(2));
+            if (auto f = old_gap.run()) return Error{f.text};
+        }
         put_gap.bind(0, name == names.end() ? 0 : rows[name->second]);
         for (int i = 1; i < 6; ++i) put_gap.bind(i, gaps.number(i));
         if (auto f = put_gap.run()) return Error{f.text};
--- a/src/store/ledger.cpp
+++ b/src/store/ledger.cpp
@@ -23,6 +23,7 @@
 constexpr Micros kTail = 300 * kMillisecond;
 constexpr std::size_t kNamesHeld = 20'000;
 constexpr int kLifeShift = 32;
+constexpr int kPagesBack = 1000;
 
 // Each step brings a file from the version before; a step that has been published is never changed.
 constexpr const char* kSteps[kSchemaVersion] = {
@@ -103,7 +104,7 @@
     if (auto f = db_.open(file, {o.read_only, !o.read_only, o.vfs})) return f;
     if (!o.read_only)
         // Full: a batch that was committed is on the disk, whatever the machine does next.
-        if (auto f = db_.exec("PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL; PRAGMA temp_store=MEMORY;"
+        if (auto f = db_.exec("PRAGMA auto_vacuum=INCREMENTAL; PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL; PRAGMA temp_store=MEMORY;"
                               "PRAGMA wal_autocheckpoint=2000; PRAGMA cache_size=-16000;"
                               "PRAGMA journal_size_limit=67108864"))
             return f;
@@ -312,7 +313,8 @@
     }
     if (auto f = whole.commit()) return f;
     removed = gap.requests;
-    return {};
+    // The room goes back to the disk in portions, so that no batch waits long for it.
+    return db_.exec("PRAGMA incremental_vacuum(" + std::to_string(kPagesBack) + ")");
 }
 
 Failure Ledger::work_since(Micros wall, Micros step, std::vector<Past>& to) {
--- a/tests/lab/checker_test.cpp
+++ b/tests/lab/checker_test.cpp
@@ -3,6 +3,10 @@
 #include "lab/checker.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
 
 namespace gatetiller::lab {
 namespace {
@@ -240,6 +244,25 @@
     EXPECT_EQ(unanswered.broken(), Rules{0});
 }
 
+// A process killed in the middle of a line, and started again on the same file.
+TEST(Records, WhatIsWrittenAfterAKillDoesNotRunIntoATornLine) {
+    const std::string file = ::testing::TempDir() + "records-" + std::to_string(::getpid()) + ".jsonl";
+    const std::string whole = line_of(LabRecord{1, "front_killed", "f", ""});
+    for (const std::string torn : {"", "{\"kind\":\"so", whole.substr(0, whole.size() - 1).c_str()}) {
+        for (const std::string& before : {std::string(), whole + whole}) {
+            std::ofstream(file, std::ios::trunc) << before << torn;
+            append_lines(file) << whole;
+            std::ifstream in(file);
+            const std::string text((std::istreambuf_iterator<char>(in)), {});
+            Records records;
+            const auto read = read_records(file, text, records);
+            ASSERT_TRUE(read) << read.error();
+            EXPECT_EQ(records.lab.size(), before.empty() ? 1u : 3u) << torn;
+        }
+    }
+    std::remove(file.c_str());
+}
+
 TEST(Records, AreReadBackAsWrittenAndALineCutShortIsPassedOver) {
     Tape t;
     t.taken(10 * ms, "a.0", "turn", "k"), t.attempt(11 * ms, "a.0", 1, 20 * ms), t.final(30 * ms, "a.0");
--- a/tests/report/report_test.cpp
+++ b/tests/report/report_test.cpp
@@ -203,6 +203,41 @@
     EXPECT_TRUE(teams.formerly("old", at("2026-11-01"), at("2026-12-01")).empty());
 }
 
+// A client whose front went silent asks the other one with the same key: two requests, one of them a repeat,
+// and the work of both is charged.
+TEST_F(ReportTest, ARepeatThroughAnotherFrontIsShownAsSuch) {
+    const Micros at = *local_time(settlement.zone, "2026-10-31T23:59:59");
+    store::Books books;
+    ASSERT_FALSE(books.open(":memory:"));
+    for (int front = 0; front < 2; ++front) {
+        const std::string file = folder + "/k" + std::to_string(front);
+        store::LedgerWriter w({file, "front", "00000000000000b" + std::to_string(front), 100 * kMillisecond});
+        RequestRow r;
+        r.who = std::make_shared<const decide::Who>(decide::Who{"u2", "s", "", "load", "west"});
+        r.key = "k1", r.key_window = 25 * kSecondMicros, r.attempts = 1;
+        // The second front's clock stepped back: its request stands before the first one's, in the same
+        // month.
+        r.taken = at - front * 2 * kSecondMicros;
+        ASSERT_TRUE(w.taken(r, r.taken));
+        AttemptRow a;
+        a.request = r.number, a.engine = "e", a.kind = "std", a.work = kSecondMicros;
+        a.state = front == 0 ? AttemptState::lost : AttemptState::answered;
+        w.update(a, r.taken);
+        r.state = front == 0 ? RequestState::interrupted : RequestState::served;
+        w.update(r, r.taken);
+        (void)w.finish(0, r.taken);
+        ASSERT_TRUE(books.collect_ledger(file));
+    }
+    const auto r = report(books);
+    ASSERT_EQ(r.lines.size(), 1u);
+    const auto& line = r.lines.begin()->second;
+    EXPECT_EQ(line.repeats, 1);
+    EXPECT_EQ(line.attempts, 2);
+    EXPECT_EQ(line.further, 0);
+    EXPECT_EQ(line.all_work(), 2 * kSecondMicros);
+    EXPECT_EQ(line.work[static_cast<std::size_t>(decide::Waste::lost)], kSecondMicros);
+}
+
 TEST_F(ReportTest, ALateCorrectionIsANewVersionAndIsPrinted) {
     Random random(9);
     const auto file = ledger(0, random, 50);
--- a/tests/store/ledger_test.cpp
+++ b/tests/store/ledger_test.cpp
@@ -386,6 +386,26 @@
     EXPECT_EQ(all[0].second.requests, static_cast<std::int64_t>(60 - left));
 }
 
+TEST_F(WriterTest, RoomOfOldRowsIsGivenBack) {
+    auto w = open(kFirstLife);
+    for (int i = 0; i < 6000; ++i) {
+        take(*w, RequestState::served);
+        if (i % 300 == 0) look(*w);
+    }
+    look(*w);
+    w->finish(now, kWall + now);
+    const auto before = std::filesystem::file_size(temp.file);
+    keep = 10 * kSecondMicros;
+    w = open(kSecondLife);
+    for (int i = 0; i < 40; ++i) {
+        take(*w, RequestState::served);
+        look(*w);
+    }
+    w->finish(now, kWall + now);
+    EXPECT_LT(std::filesystem::file_size(temp.file), before / 3);
+    EXPECT_LT(read(temp.file).all.size(), 50u);
+}
+
 TEST_F(WriterTest, ASnapshotWhileWritingIsWholeAndCanBeGoneOnWith) {
     auto w = open(kFirstLife);
     for (int i = 0; i < 50; ++i) take(*w, i % 2 ? RequestState::served : RequestState::open);
