--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -81,6 +81,7 @@
     decide::AttemptFacts facts;
     std::int64_t row_bytes = 0;
     std::string engine_id, engine_name, engine_kind;
+    store::LedgerWriter::Place place;
     statement::Stats stats;
     std::string columns;
     std::optional<Report> report;
@@ -100,7 +101,9 @@
     Ended ended = Ended::failed;
     Outcome last = Outcome::skipped;
     std::string last_error, last_engine;
-    std::optional<decide::RequestRow> row;  // where the ledger has it
+    std::optional<decide::RequestRow> row;  // until its last one is given to the ledger
+    bool in_ledger = false;
+    store::LedgerWriter::Place place;
     statement::Stats stats;
 
     Attempt* out() { return life.out() ? attempts.back().get() : nullptr; }
@@ -139,7 +142,7 @@
     }
     for (const Action& action : brain_.start()) carry_out(action);
     // Until the ledger tells whether a life before was killed, cold engines are not pushed by both.
-    if (deps_.ledger) engines_.hold_cold(loop_.now() + 3 * deps_.ledger->flush_every());
+    if (deps_.ledger) engines_.hold_cold(loop_.now() + settings_.module.overload_for);
     engines_.start();
     if (deps_.ledger) look_in_ledger();
     return bound;
@@ -224,8 +227,9 @@
             c.user, c.source, decide::tags_without(c.tags, r->routed.key), r->routed.cls, tenant});
         row.id = id, row.key = r->routed.key, row.taken = loop_.wall();
         if (cls->effect == Effect::by_key) row.key_window = cls->window;
-        if (deps_.ledger->taken(row, row.taken)) r->row = std::move(row);
+        r->in_ledger = deps_.ledger->taken(row, row.taken, r->place);
         r->number = row.number;
+        r->row = std::move(row);
     }
     r->submission = std::move(s);
     metrics_.taken(r->routed.cls);
@@ -289,12 +293,13 @@
                r.stats.spilled_bytes};
     metrics_.finished(f);
     if (deps_.finished) deps_.finished(f);
-    if (r.row) {
+    if (r.in_ledger && r.row) {
         r.row->state = state_of(r.ended);
         r.row->error = r.ended == Ended::served && !r.last_error.empty();
         r.row->attempts = static_cast<std::uint32_t>(r.attempts.size());
         r.row->ended_after = ended - r.arrived, r.row->closed_after = now - r.arrived;
-        deps_.ledger->update(*r.row, loop_.wall());
+        deps_.ledger->update(std::move(*r.row), loop_.wall(), r.place);
+        r.row.reset();
     }
     if (r.life.freeable()) free_later(r.id);
 }
@@ -580,9 +585,9 @@
 
 // ---- The ledger
 
-void Front::note_attempt(const Attempt& a, decide::AttemptState state) {
+void Front::note_attempt(Attempt& a, decide::AttemptState state) {
     const Running& r = a.running;
-    if (!r.row) return;
+    if (!r.in_ledger) return;
     decide::AttemptRow row;
     row.request = r.number, row.number = static_cast<std::uint32_t>(a.number);
     row.engine = a.engine_name, row.kind = a.engine_kind, row.engine_id = a.engine_id;
@@ -594,7 +599,7 @@
     row.peak_bytes = a.stats.peak_memory_bytes, row.spilled_bytes = a.stats.spilled_bytes;
     row.row_bytes = a.row_bytes;
     row.whole = a.facts.document;
-    deps_.ledger->update(std::move(row), loop_.wall());
+    deps_.ledger->update(std::move(row), loop_.wall(), a.place);
 }
 
 void Front::look_in_ledger() {
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -76,7 +76,7 @@
     void finish(Running& r);
     void free_later(const std::string& id);
     void finish_drain();
-    void note_attempt(const Attempt& a, decide::AttemptState state);
+    void note_attempt(Attempt& a, decide::AttemptState state);
     void look_in_ledger();
     std::string ledger_member() const;
     Running* find(const std::string& id);
--- a/src/lab/books.cpp
+++ b/src/lab/books.cpp
@@ -71,13 +71,15 @@
              seconds_now() - t, static_cast<long long>(taken.requests_interrupted));
         ledger.close();
         store::Books books;
-        const std::string books_file = o_.folder + "/month.books";
-        for (const char* part : {"", "-wal", "-shm"}) std::filesystem::remove(books_file + part);
+        // Without journals the report is made of the ledger itself, which is of the books' form.
+        const std::string books_file = o_.journal ? o_.folder + "/month.books" : file;
+        if (o_.journal)
+            for (const char* part : {"", "-wal", "-shm"}) std::filesystem::remove(books_file + part);
         if (auto f = books.open(books_file)) return Error{f.text};
-        t = seconds_now();
-        if (auto c = books.collect_ledger(file); !c) return Error{c.error()};
-        line("collected into the books", "%.1f s", seconds_now() - t);
         if (o_.journal) {
+            t = seconds_now();
+            if (auto c = books.collect_ledger(file); !c) return Error{c.error()};
+            line("collected into the books", "%.1f s", seconds_now() - t);
             t = seconds_now();
             std::ifstream lines(events);
             auto c = books.collect_journal("events", lines);
--- a/src/store/ledger.cpp
+++ b/src/store/ledger.cpp
@@ -104,7 +104,8 @@
     if (auto f = db_.open(file, {o.read_only, !o.read_only, o.vfs})) return f;
     if (!o.read_only)
         // Full: a batch that was committed is on the disk, whatever the machine does next.
-        if (auto f = db_.exec("PRAGMA auto_vacuum=INCREMENTAL; PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL; PRAGMA temp_store=MEMORY;"
+        if (auto f = db_.exec("PRAGMA auto_vacuum=INCREMENTAL; PRAGMA journal_mode=WAL; PRAGMA "
+                              "synchronous=FULL; PRAGMA temp_store=MEMORY;"
                               "PRAGMA wal_autocheckpoint=2000; PRAGMA cache_size=-16000;"
                               "PRAGMA journal_size_limit=67108864"))
             return f;
@@ -248,22 +249,12 @@
 Failure Ledger::write(const Batch& b) {
     Transaction whole(db_);
     if (whole.begun()) return whole.begun();
-    std::unordered_map<std::uint64_t, std::size_t> last;
-    const auto key_of = [](const auto& row) {
-        if (const auto* r = std::get_if<RequestRow>(&row)) return std::uint64_t{r->number} << 12;
-        const auto& a = std::get<AttemptRow>(row);
-        return std::uint64_t{a.request} << 12 | (a.number + 1);
-    };
-    last.reserve(b.rows.size());
-    for (std::size_t i = 0; i < b.rows.size(); ++i) last[key_of(b.rows[i])] = i;
     const auto failed = [this](Failure f) {
         forget_names();  // those that this batch added go with it
         return f;
     };
-    for (std::size_t i = 0; i < b.rows.size(); ++i) {
-        if (last[key_of(b.rows[i])] != i) continue;
-        if (auto f = std::visit([&](const auto& r) { return put(life_, r); }, b.rows[i])) return failed(f);
-    }
+    for (const auto& row : b.rows)
+        if (auto f = std::visit([&](const auto& r) { return put(life_, r); }, row)) return failed(f);
     for (const Gap& g : b.gaps) {
         put_gap_.bind(0, life_).bind(1, static_cast<int>(g.cause)).bind(2, g.from).bind(3, g.to);
         put_gap_.bind(4, g.requests).bind(5, g.updates);
--- a/src/store/ledger.hpp
+++ b/src/store/ledger.hpp
@@ -65,8 +65,8 @@
     Failure begin_life(const std::string& name, const std::string& front, Micros wall, Taken& taken);
     Failure write(const Batch& batch);
     Failure end_life(Micros wall);
-    // Removes closed requests taken before `wall`, so many at most, and gives the room back; what is gone stands
-    // as a gap. `removed` is 0 once none is left.
+    // Removes closed requests taken before `wall`, so many at most, and gives the room back; what is gone
+    // stands as a gap. `removed` is 0 once none is left.
     Failure expire(Micros wall, int most, std::int64_t& removed);
     // Work of requests taken since `wall`, in all, by requester and by `step` of time.
     struct Past {
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -1,5 +1,8 @@
 #include "store/writer.hpp"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <csignal>
 #include <filesystem>
 
@@ -8,6 +11,7 @@
 
 constexpr Micros kTouchEvery = kSecondMicros;  // the life's "written until", while nothing happens
 constexpr int kExpireAtOnce = 2000;
+constexpr int kNice = 10;
 
 void append(Batch& to, Batch& from) {
     const auto move = [](auto& a, auto& b) {
@@ -37,20 +41,26 @@
 
 // ---- The loop's side
 
-bool LedgerWriter::taken(RequestRow& row, Micros wall) {
+bool LedgerWriter::taken(RequestRow& row, Micros wall, Place& place) {
     row.number = ++last_number_;
     if (!intake_.admit(queue_.size() + in_hand_, wall)) return false;
+    place = {flush_, queue_.size()};
     queue_.emplace_back(row);
     return true;
 }
 
-void LedgerWriter::update(RequestRow row, Micros wall) {
-    if (intake_.update(queue_.size() + in_hand_, wall)) queue_.emplace_back(std::move(row));
+template <typename Row>
+void LedgerWriter::put(Row row, Micros wall, Place& place) {
+    if (place.flush == flush_) {
+        std::get<Row>(queue_[place.index]) = std::move(row);
+    } else if (intake_.update(queue_.size() + in_hand_, wall)) {
+        place = {flush_, queue_.size()};
+        queue_.emplace_back(std::move(row));
+    }
 }
 
-void LedgerWriter::update(AttemptRow row, Micros wall) {
-    if (intake_.update(queue_.size() + in_hand_, wall)) queue_.emplace_back(std::move(row));
-}
+void LedgerWriter::update(RequestRow row, Micros wall, Place& place) { put(std::move(row), wall, place); }
+void LedgerWriter::update(AttemptRow row, Micros wall, Place& place) { put(std::move(row), wall, place); }
 
 std::vector<std::string> LedgerWriter::look(Micros now, Micros wall) {
     std::vector<std::string> words;
@@ -60,6 +70,7 @@
         next.rows = std::move(queue_);
         queue_.clear();
         queue_.reserve(next.rows.size());
+        ++flush_;
         if (const auto step = clock_.look(now, wall)) {
             next.clock_steps.emplace_back(wall, *step);
             words_.push_back("ledger: the wall clock stepped by " + std::to_string(*step / kMillisecond) +
@@ -139,6 +150,8 @@
 }
 
 void LedgerWriter::serve() {
+    // Behind the loop where cores are short: rows can wait, statements can't.
+    ::setpriority(PRIO_PROCESS, static_cast<id_t>(::gettid()), kNice);
     for (;;) {
         Micros now = 0;
         {
--- a/src/store/writer.hpp
+++ b/src/store/writer.hpp
@@ -44,10 +44,26 @@
     // ---- The loop's side
     const std::string& life() const { return settings_.life; }
     Micros flush_every() const { return settings_.flush_every; }
+    // Where the last row of a request or an attempt was put. As long as it waits there, the next one takes
+    // its place: what begins and ends within a flush is one row, and costs no room.
+    struct Place {
+        std::uint64_t flush = 0;
+        std::size_t index = 0;
+    };
     // The request's number is set. False: the ledger is full up, and this request will not be in it.
-    bool taken(RequestRow& row, Micros wall);
-    void update(RequestRow row, Micros wall);
-    void update(AttemptRow row, Micros wall);
+    bool taken(RequestRow& row, Micros wall, Place& place);
+    void update(RequestRow row, Micros wall, Place& place);
+    void update(AttemptRow row, Micros wall, Place& place);
+    // The same as rows of their own, for those who keep no place.
+    bool taken(RequestRow& row, Micros wall) {
+        Place none;
+        return taken(row, wall, none);
+    }
+    template <typename Row>
+    void update(Row row, Micros wall) {
+        Place none;
+        update(std::move(row), wall, none);
+    }
     // Hands over what waits. What an operator should read comes back, a text each.
     std::vector<std::string> look(Micros now, Micros wall);
     WriterStatus status() const;
@@ -65,6 +81,8 @@
     std::vector<std::string> finish(Micros now, Micros wall);
 
 private:
+    template <typename Row>
+    void put(Row row, Micros wall, Place& place);
     void turn(Micros now);  // the store's side, one go
     Failure open();
     void set_aside(Micros now);
@@ -78,6 +96,7 @@
     decide::ClockWatch clock_;
     std::vector<std::variant<RequestRow, AttemptRow>> queue_;
     std::uint32_t last_number_ = 0;
+    std::uint64_t flush_ = 1;
 
     mutable std::mutex mutex_;
     std::condition_variable handed_over_;
--- a/tests/front/ledger_test.cpp
+++ b/tests/front/ledger_test.cpp
@@ -88,7 +88,7 @@
 TEST_F(LedgerTest, EveryQueryReconcilesThroughFaultsAndAKilledFront) {
     engine::MachineSettings machine;
     machine.cores = 4;
-    Whole w(3, "", machine, [&](auto&) {});
+    Whole w(3, "rules+: { warm_up: '10ms' }", machine);
     keep(w, 1);
     w.restart();  // with the ledger
     Random random(11);
@@ -227,7 +227,7 @@
 
 // The disk fails for good: statements are served as ever, the trouble is told in the log's way and in status.
 TEST_F(LedgerTest, AFrontServesOnWithoutItsLedger) {
-    Whole w(1);
+    Whole w(1, "rules+: { warm_up: '10ms' }");
     store::WriterSettings s;
     s.file = "/proc/no/such/place/front.ledger", s.front = "tested", s.life = "0000000000000011";
     s.flush_every = 10 * kMillisecond;
--- a/tests/store/books_test.cpp
+++ b/tests/store/books_test.cpp
@@ -52,7 +52,8 @@
             EXPECT_TRUE(w.taken(r, wall));
             ++m.requests;
             AttemptRow a;
-            a.request = r.number, a.engine = "e1", a.ended_after = 10'000, a.work = static_cast<Micros>(random.below(1000)) * 1000;
+            a.request = r.number, a.engine = "e1", a.ended_after = 10'000,
+            a.work = static_cast<Micros>(random.below(1000)) * 1000;
             const auto want = [&](Finding finding, AttemptState state, bool whole, bool logged, Micros more) {
                 ++m.wanted[finding];
                 a.state = state, a.whole = whole;
