A test's list of texts outlives its loop

Cause: the sanitized run found that a test kept pointers into a text that was gone. Change: the list holds the texts themselves.

--- a/tests/lab/checker_test.cpp
+++ b/tests/lab/checker_test.cpp
@@ -248,7 +248,8 @@
 TEST(Records, WhatIsWrittenAfterAKillDoesNotRunIntoATornLine) {
     const std::string file = ::testing::TempDir() + "records-" + std::to_string(::getpid()) + ".jsonl";
     const std::string whole = line_of(LabRecord{1, "front_killed", "f", ""});
-    for (const std::string torn : {"", "{\"kind\":\"so", whole.substr(0, whole.size() - 1).c_str()}) {
+    for (const std::string& torn :
+         {std::string(), std::string("{\"kind\":\"so"), whole.substr(0, whole.size() - 1)}) {
         for (const std::string& before : {std::string(), whole + whole}) {
             std::ofstream(file, std::ios::trunc) << before << torn;
             append_lines(file) << whole;
