--- a/src/decide/routing.cpp
+++ b/src/decide/routing.cpp
@@ -2,22 +2,15 @@
 
 #include <algorithm>
 
-#include "base/text.hpp"
+#include "decide/pattern.hpp"
 
 namespace gatetiller::decide {
 namespace {
 
-bool fits(const std::string& pattern, const std::string& text) {
-    return pattern.empty() || glob_matches(pattern, text);
-}
-
 bool fits(const Route& r, const Traits& t) {
-    return fits(r.user, t.user) && fits(r.source, t.source) && fits(r.catalog, t.catalog) &&
-           fits(r.schema, t.schema) &&
-           std::all_of(r.tags.begin(), r.tags.end(), [&](const std::string& wanted) {
-               return std::any_of(t.tags.begin(), t.tags.end(),
-                                  [&](const auto& tag) { return glob_matches(wanted, tag); });
-           });
+    return pattern_fits(r.user, t.user) && pattern_fits(r.source, t.source) &&
+           pattern_fits(r.catalog, t.catalog) && pattern_fits(r.schema, t.schema) &&
+           patterns_fit(r.tags, t.tags);
 }
 
 std::string value_of(const std::string& from, const Traits& t) {
--- a/src/decide/teams.cpp
+++ b/src/decide/teams.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <limits>
 
-#include "base/text.hpp"
+#include "decide/pattern.hpp"
 
 namespace gatetiller::decide {
 namespace {
@@ -11,17 +11,11 @@
 constexpr std::size_t kKnown = 200'000;  // requesters remembered at once
 const std::string kNoTeam;
 
-bool fits(const std::string& pattern, const std::string& text) {
-    return pattern.empty() || glob_matches(pattern, text);
-}
-
 bool fits(const TeamRule& r, const Who& w) {
-    if (!fits(r.tenant, w.tenant) || !fits(r.user, w.user) || !fits(r.source, w.source)) return false;
-    const auto tags = split(w.tags, ',');
-    return std::all_of(r.tags.begin(), r.tags.end(), [&](const std::string& wanted) {
-        return std::any_of(tags.begin(), tags.end(),
-                           [&](std::string_view tag) { return glob_matches(wanted, tag); });
-    });
+    if (!pattern_fits(r.tenant, w.tenant) || !pattern_fits(r.user, w.user) ||
+        !pattern_fits(r.source, w.source))
+        return false;
+    return patterns_fit(r.tags, split(w.tags, ','));
 }
 
 }  // namespace
--- a/src/lab/virtual_day.cpp
+++ b/src/lab/virtual_day.cpp
@@ -206,9 +206,9 @@
         });
     }
 
-    static Traffic traffic_of(double rate) {
+    Traffic traffic() const {
         Traffic t;
-        t.rate = rate;
+        t.rate = o_.rate;
         ClassLoad lookup, report, load, post;
         lookup.name = "lookup", lookup.share = 75, lookup.work_ms = 60, lookup.rows = 2;
         report.name = "report", report.share = 8, report.work_ms = 400, report.threads = 3;
@@ -220,7 +220,6 @@
         t.leave = 0.03, t.abandon = 0.01, t.lost_polls = 0.02;
         return t;
     }
-    Traffic traffic() const { return traffic_of(o_.rate); }
 
     Facts facts() const {
         Facts f;
@@ -254,8 +253,7 @@
         if (!r) return Error{r.error()};
         result_.report = report::to_json(*r).dump();
         for (const auto& [key, line] : r->lines) result_.charged += line.all_work();
-        for (const auto finding : {decide::Finding::unlogged})
-            result_.charged -= r->findings[static_cast<std::size_t>(finding)].work;
+        result_.charged -= r->findings[static_cast<std::size_t>(decide::Finding::unlogged)].work;
         for (const auto& [front, gap] : r->gaps)
             result_.longest_gap = std::max(result_.longest_gap, gap.to - gap.from);
         result_.gaps = r->gaps.size();
--- a/src/store/ledger.cpp
+++ b/src/store/ledger.cpp
@@ -309,8 +309,7 @@
 }
 
 Failure Ledger::work_since(Micros wall, Micros step, std::vector<Past>& to) {
-    // Rows stand in the order of taking but for steps of the clock: from the end back to the first that is
-    // older, and each further one is looked at by its own time.
+    // Every row is looked at by its own time: steps of the clock may have put them out of order.
     auto s = db_.prepare(
         "SELECT who, taken/?2, sum(work) FROM requests JOIN attempts ON request=requests.row "
         "WHERE taken>=?1 GROUP BY 1, 2 ORDER BY 2, 1");
