--- a/src/bench/wire.hpp
+++ b/src/bench/wire.hpp
@@ -18,7 +18,6 @@
     using std::runtime_error::runtime_error;
 };
 
-Settings parse_settings(std::string_view json);
 std::string decode_base64(std::string_view text);
 std::string encode_base64(std::string_view bytes);
 
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -14,6 +14,7 @@
 
 void add_serve(CLI::App& app, Common& common);
 void add_engine(CLI::App& app, Common& common);
+void add_node(CLI::App& app, Common& common);
 void add_query(CLI::App& app, Common& common);
 void add_demo(CLI::App& app, Common& common);
 void add_lab(CLI::App& app, Common& common);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -14,6 +14,7 @@
     gatetiller::cli::add_demo(app, common);
     gatetiller::cli::add_serve(app, common);
     gatetiller::cli::add_engine(app, common);
+    gatetiller::cli::add_node(app, common);
     gatetiller::cli::add_query(app, common);
     gatetiller::cli::add_config(app, common);
     gatetiller::cli::add_lab(app, common);
--- /dev/null
+++ b/src/decide/engine_list.cpp
@@ -0,0 +1,41 @@
+#include "decide/engine_list.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gatetiller::decide {
+
+std::optional<ListChange> EngineList::take(std::uint64_t number, const std::vector<ListedEngine>& list,
+                                           Micros now, Micros wall) {
+    if (any_ && number <= number_) return std::nullopt;
+    ListChange change;
+    change.form = std::exchange(any_, true) ? ListForm::incr : ListForm::warm_copy;
+    number_ = number;
+    std::map<std::string, EngineId> ids;
+    for (const ListedEngine& e : list) {
+        if (ids.contains(e.name)) continue;  // one name twice: the first counts
+        const auto known = ids_.find(e.name);
+        const EngineId id = known != ids_.end() ? known->second : ++last_;
+        ids.emplace(e.name, id);
+        ListedEngine& held = engines_[id];
+        if (known != ids_.end() && held == e) continue;
+        // A start counts by the clocks of the moment it is first heard of: a later step of the wall clock
+        // must not make an engine colder or warmer.
+        if (known == ids_.end() || held.started != e.started)
+            came_up_[id] =
+                e.started <= 0 ? 0 : std::max<Micros>(1, now - std::max<Micros>(0, wall - e.started));
+        held = e;
+        change.engines.push_back({id, e.state, e.zone, e.kind, e.cell, came_up_[id], e.share});
+    }
+    for (const auto& [name, id] : ids_) {
+        if (ids.contains(name)) continue;
+        const ListedEngine& e = engines_[id];
+        change.engines.push_back({id, EngineState::off, e.zone, e.kind, e.cell, came_up_[id], e.share});
+        engines_.erase(id), came_up_.erase(id);
+    }
+    ids_ = std::move(ids);
+    if (change.engines.empty() && change.form == ListForm::incr) return std::nullopt;
+    return change;
+}
+
+}  // namespace gatetiller::decide
--- /dev/null
+++ b/src/decide/engine_list.hpp
@@ -0,0 +1,44 @@
+// The list of engines as a front node keeps it: by the name service's ids, in the order of the service's
+// numbers. What changed is handed to the module; what a good whole list no longer holds is gone.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "policy/brain.hpp"
+
+namespace gatetiller::decide {
+
+struct ListedEngine {
+    std::string name;     // the service's id; never used for another engine
+    std::string address;  // host:port; one that is gone may hand it on
+    EngineState state = EngineState::on;
+    std::string zone, kind;
+    std::int64_t cell = 0;
+    double share = 1;
+    Micros started = 0;  // wall clock, microseconds since 1970; 0: long ago
+    friend bool operator==(const ListedEngine&, const ListedEngine&) = default;
+};
+
+class EngineList {
+public:
+    // A whole list with its number, heard at `now` while the wall clock stood at `wall`. Nothing where it is
+    // no newer than what is held, or changes nothing. The first one is told as the copy of the start.
+    std::optional<ListChange> take(std::uint64_t number, const std::vector<ListedEngine>& list, Micros now,
+                                   Micros wall);
+    std::uint64_t number() const { return number_; }
+    const std::map<EngineId, ListedEngine>& engines() const { return engines_; }  // those not gone
+
+private:
+    std::uint64_t number_ = 0;
+    bool any_ = false;
+    EngineId last_ = 0;
+    std::map<std::string, EngineId> ids_;  // of those not gone
+    std::map<EngineId, ListedEngine> engines_;
+    std::map<EngineId, Micros> came_up_;  // on the loop's clock, reckoned once for each start
+};
+
+}  // namespace gatetiller::decide
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -118,7 +118,7 @@
       holding_(settings_.holding),
       teams_(settings_.budgets.rules, {}),
       quota_(settings_.budgets.quota, settings_.budgets.budgets),
-      brain_(loop.now(), deps_.seed, settings_.module),
+      driver_(loop, deps_.seed, settings_.module, [this](const Action& a) { carry_out(a); }),
       engines_(
           loop, settings_,
           {[this](ListChange c) { post(std::move(c)); }, [this](const std::string& t) { deps_.log(t); }}),
@@ -130,7 +130,6 @@
     loop_.cancel(ledger_timer_);
     loop_.cancel(drain_timer_);
     loop_.cancel(free_timer_);
-    for (const auto& [name, timer] : bells_) loop_.cancel(timer);
 }
 
 Result<std::vector<net::Address>> Front::start() {
@@ -140,7 +139,7 @@
         if (!address) return Error{address.error()};
         bound.push_back(*address);
     }
-    for (const Action& action : brain_.start()) carry_out(action);
+    driver_.start();
     // Until the ledger tells whether a life before was killed, cold engines are not pushed by both.
     if (deps_.ledger) engines_.hold_cold(loop_.now() + settings_.module.overload_for);
     engines_.start();
@@ -156,7 +155,7 @@
                          {},
                          metrics_.page({static_cast<double>(running_.size()),
                                         static_cast<double>(statements_.waiting_in_all()),
-                                        static_cast<double>(server_.connections()), brain_.alpha(),
+                                        static_cast<double>(server_.connections()), driver_.alpha(),
                                         static_cast<double>(statements_.kept())})};
         r.headers.add("Content-Type", "text/plain; version=0.0.4");
         return reply.send(r);
@@ -350,23 +349,13 @@
            std::to_string(running_.size()) +
            ",\"waitingBytes\":" + std::to_string(statements_.waiting_in_all()) +
            ",\"connections\":" + std::to_string(server_.connections()) +
-           ",\"alpha\":" + std::to_string(brain_.alpha()) + ledger_member();
+           ",\"alpha\":" + std::to_string(driver_.alpha()) + ledger_member();
 }
 
 // ---- Events of the module, and its actions
 
-// Events that come up while actions are carried out wait for their turn, so that the module sees them in
-// order.
 void Front::post(Event event) {
-    if (deps_.drop_event && deps_.drop_event(event)) return;
-    events_.push_back(std::move(event));
-    if (std::exchange(posting_, true)) return;
-    while (!events_.empty()) {
-        const Event next = std::move(events_.front());
-        events_.pop_front();
-        for (const Action& action : brain_.handle(loop_.now(), next)) carry_out(action);
-    }
-    posting_ = false;
+    if (!deps_.drop_event || !deps_.drop_event(event)) driver_.post(std::move(event));
 }
 
 void Front::carry_out(const Action& action) {
@@ -420,13 +409,7 @@
                           },
                           [&](const Tell&) {},  // no peers here: the settings never allow it
                           [&](const Observe&) { engines_.ask(); },
-                          [&](const SetTimer& a) {
-                              const std::int64_t key = ++last_bell_;
-                              bells_[key] = loop_.after(a.delay, [this, key, name = a.name] {
-                                  bells_.erase(key);
-                                  post(Bell{name});
-                              });
-                          }},
+                          [&](const SetTimer&) {}},  // the driver keeps the timers
                action);
 }
 
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -4,12 +4,12 @@
 // src/decide.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
 
+#include "core/driver.hpp"
 #include "decide/attempt_end.hpp"
 #include "decide/life.hpp"
 #include "decide/notes.hpp"
@@ -43,7 +43,7 @@
     void drain(std::function<void()> done);
     // Engines, roster and routes of new settings; the rest needs a restart.
     void reload(const config::FrontSettings& settings);
-    double alpha() const { return brain_.alpha(); }
+    double alpha() const { return driver_.alpha(); }
     std::size_t statements() const { return running_.size(); }
     Engines& engines() { return engines_; }
 
@@ -89,19 +89,16 @@
     decide::Teams teams_;
     decide::Quota quota_;
     Metrics metrics_;
-    Brain brain_;
+    core::Driver driver_;
     Engines engines_;
     statement::ServerSide statements_;
     http::Server server_;
     std::unordered_map<std::string, std::unique_ptr<Running>> running_;
-    std::deque<Event> events_;
     std::vector<std::string> to_free_;
-    bool posting_ = false, draining_ = false, drain_over_ = false;
+    bool draining_ = false, drain_over_ = false;
     std::function<void()> drained_;
     bool before_known_ = false;  // how the life before ended, by the ledger
     net::TimerId drain_timer_ = 0, free_timer_ = 0, ledger_timer_ = 0;
-    std::map<std::int64_t, net::TimerId> bells_;
-    std::int64_t last_bell_ = 0;
 };
 
 }  // namespace gatetiller::front
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -68,6 +68,16 @@
     virtual const Address& address() const = 0;  // with the port that the kernel chose
 };
 
+// A socket for datagrams (UDP over IPv4 or IPv6). What can't be sent is lost without a word, as on the way.
+class Datagrams {
+public:
+    // A datagram and the address that it says it comes from.
+    using Received = std::function<void(const Address& from, std::string_view bytes)>;
+    virtual ~Datagrams() = default;
+    virtual void send(const Address& to, std::string_view bytes) = 0;
+    virtual const Address& address() const = 0;  // with the port that the kernel chose
+};
+
 using TimerId = std::uint64_t;  // 0: none
 
 class Loop {
@@ -85,6 +95,7 @@
     // Never fails at once: what goes wrong comes as on_closed in a later turn. `time_out` is for connecting
     // only.
     virtual std::unique_ptr<Stream> connect(const Address& to, StreamEvents& events, Micros time_out) = 0;
+    virtual Result<std::unique_ptr<Datagrams>> datagrams(const Address& at, Datagrams::Received received) = 0;
 };
 
 }  // namespace gatetiller::net
--- a/src/net/poll_loop.cpp
+++ b/src/net/poll_loop.cpp
@@ -19,6 +19,7 @@
 
 constexpr Micros kAcceptRest = 100 * kMillisecond;  // when no descriptor is left for a new connection
 constexpr std::size_t kReadSize = 64 * 1024;
+constexpr int kDatagramsATurn = 64;
 
 struct SocketAddress {
     sockaddr_storage storage{};
@@ -62,11 +63,11 @@
     return a;
 }
 
-int open_socket(const Address& a) {
+int open_socket(const Address& a, int type = SOCK_STREAM) {
     const int family = a.family == Address::Family::local  ? AF_UNIX
                        : a.family == Address::Family::ipv6 ? AF_INET6
                                                            : AF_INET;
-    return ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    return ::socket(family, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 }
 
 void no_delay(
@@ -261,6 +262,41 @@
     std::shared_ptr<Door> door_;
 };
 
+struct PollLoop::Post final : Watched {
+    using Watched::Watched;
+    void on_ready(short) override {
+        char piece[kReadSize];
+        const std::weak_ptr<char> here = alive;
+        for (int i = 0; i < kDatagramsATurn; ++i) {
+            sockaddr_storage from{};
+            socklen_t size = sizeof from;
+            const ssize_t n =
+                ::recvfrom(fd, piece, sizeof piece, 0, reinterpret_cast<sockaddr*>(&from), &size);
+            if (n < 0) return;
+            received(from_kernel(from, address), std::string_view(piece, static_cast<std::size_t>(n)));
+            if (here.expired() || fd < 0) return;
+        }
+    }
+
+    Address address;
+    Datagrams::Received received;
+    std::shared_ptr<char> alive = std::make_shared<char>();
+};
+
+class PollLoop::PostDatagrams final : public Datagrams {
+public:
+    explicit PostDatagrams(std::shared_ptr<Post> post) : post_(std::move(post)) {}
+    ~PostDatagrams() override { post_->close(); }
+    void send(const Address& to, std::string_view bytes) override {
+        auto kernel = to_kernel(to);
+        ::sendto(post_->fd, bytes.data(), bytes.size(), MSG_NOSIGNAL, kernel.get(), kernel.size);
+    }
+    const Address& address() const override { return post_->address; }
+
+private:
+    std::shared_ptr<Post> post_;
+};
+
 struct PollLoop::Signals final : Watched {
     using Watched::Watched;
     void on_ready(short) override {
@@ -380,6 +416,24 @@
     return std::make_unique<SocketStream>(std::move(socket));
 }
 
+Result<std::unique_ptr<Datagrams>> PollLoop::datagrams(const Address& at, Datagrams::Received received) {
+    const int fd = open_socket(at, SOCK_DGRAM);
+    auto kernel = to_kernel(at);
+    if (fd < 0 || ::bind(fd, kernel.get(), kernel.size) != 0) {
+        const std::string text = "cannot receive datagrams on " + at.text() + ": " + std::strerror(errno);
+        if (fd >= 0) ::close(fd);
+        return Error{text};
+    }
+    sockaddr_storage got{};
+    socklen_t size = sizeof got;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&got), &size);
+    auto post = std::make_shared<Post>(*this, fd);
+    post->address = from_kernel(got, at);
+    post->received = std::move(received);
+    watch(post, POLLIN);
+    return std::unique_ptr<Datagrams>(std::make_unique<PostDatagrams>(std::move(post)));
+}
+
 void PollLoop::on_signals(const std::vector<int>& signals, std::function<void(int)> then) {
     sigset_t set;
     sigemptyset(&set);
--- a/src/net/poll_loop.hpp
+++ b/src/net/poll_loop.hpp
@@ -34,6 +34,7 @@
     Result<std::unique_ptr<Listener>> listen(const Address& at,
                                              std::function<void(std::unique_ptr<Stream>)> accepted) override;
     std::unique_ptr<Stream> connect(const Address& to, StreamEvents& events, Micros time_out) override;
+    Result<std::unique_ptr<Datagrams>> datagrams(const Address& at, Datagrams::Received received) override;
 
     // Calls `then` for each of these signals from the loop's turns. They are blocked for the whole process,
     // so this comes before any thread starts.
@@ -50,6 +51,8 @@
     struct Signals;
     class SocketStream;
     class DoorListener;
+    struct Post;
+    class PostDatagrams;
 
     void watch(std::shared_ptr<Watched> what, short events);
     void forget(Watched& what);
--- a/src/net/tap.hpp
+++ b/src/net/tap.hpp
@@ -31,6 +31,10 @@
     Result<std::unique_ptr<Listener>> listen(const Address& at,
                                              std::function<void(std::unique_ptr<Stream>)> accepted) override;
     std::unique_ptr<Stream> connect(const Address& to, StreamEvents& events, Micros time_out) override;
+    // Datagrams carry no statement: they are not told to the sink.
+    Result<std::unique_ptr<Datagrams>> datagrams(const Address& at, Datagrams::Received received) override {
+        return below_.datagrams(at, std::move(received));
+    }
 
 private:
     class Tapped;
--- /dev/null
+++ b/src/node/clients.hpp
@@ -0,0 +1,56 @@
+// The client side of a front node: Thrift connections, their requests by number, and the bounds on them.
+// Whoever is malformed is told so and closed here; what is whole goes to the handler.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "decide/node_bounds.hpp"
+#include "net/loop.hpp"
+#include "thrift/service.hpp"
+
+namespace gatetiller::node {
+
+struct ClientCounters {
+    std::uint64_t accepted = 0, malformed = 0, evicted = 0, overdue = 0, too_many = 0;
+};
+
+class Clients {
+public:
+    using Id = std::uint64_t;  // of a connection; never used again
+    struct Events {
+        std::function<void(Id, thrift::Call)> request;       // `process`; to be answered by reply()
+        std::function<void(Id, std::int32_t seq)> given_up;  // no answer is owed any more
+    };
+    Clients(net::Loop& loop, decide::NodeBounds bounds, Events events);
+    ~Clients();
+    Clients(const Clients&) = delete;
+    Clients& operator=(const Clients&) = delete;
+
+    Result<net::Address> listen(const net::Address& at);
+    // The answer to an open request, as a whole frame; passed over where the client has gone.
+    void reply(Id id, std::int32_t seq, std::string frame);
+    std::size_t connections() const { return connections_.size(); }
+    const ClientCounters& counters() const { return counters_; }
+
+private:
+    struct Connection;
+    void accepted(std::unique_ptr<net::Stream> stream);
+    void drop(Id id);
+    void sweep();
+
+    net::Loop& loop_;
+    decide::NodeBounds bounds_;
+    decide::DoorTimes times_;
+    Events events_;
+    std::unique_ptr<net::Listener> listener_;
+    std::unordered_map<Id, std::unique_ptr<Connection>> connections_;
+    Id last_ = 0;
+    ClientCounters counters_;
+    net::TimerId timer_ = 0;
+};
+
+}  // namespace gatetiller::node
--- /dev/null
+++ b/src/node/engine_link.cpp
@@ -0,0 +1,252 @@
+#include "node/engine_link.hpp"
+
+#include <algorithm>
+
+#include "base/text.hpp"
+#include "platform/settings.hpp"
+#include "resp/resp.hpp"
+
+namespace gatetiller::node {
+namespace {
+
+using decide::ExchangeEnd;
+using How = ExchangeEnd::How;
+
+constexpr std::size_t kIdsMost = 2000;             // requests that one connection ever carries
+constexpr Micros kIdleMargin = 2 * kSecondMicros;  // before the engine closes an idle connection
+
+const resp::Limits kAnswer{4, 8 * 1024};
+
+std::optional<Report> report_of(std::string_view gauges) {
+    Report report;
+    bool any = false;
+    for (const auto part : split(gauges, ';')) {
+        const std::size_t colon = part.find(':');
+        if (colon == std::string_view::npos) continue;
+        const auto member = platform::report_field(part.substr(0, colon));
+        const auto value = to_number<double>(part.substr(colon + 1));
+        if (member && value) report.*member = *value, any = true;
+    }
+    return any ? std::optional(report) : std::nullopt;
+}
+
+}  // namespace
+
+struct Exchange::Connection final : net::StreamEvents {
+    Connection(EngineLink& l) : link(l), used(l.loop_.now()) {}
+
+    void on_connected() override { up = true; }
+    void on_data(Buffer& in) override {
+        const std::weak_ptr<char> here = alive;
+        std::vector<std::string_view> words;
+        std::size_t size = 0;
+        for (;;) {
+            const auto reading = resp::read_array(in.view(), kAnswer, words, size);
+            if (reading == resp::Reading::none) return;
+            if (reading == resp::Reading::spoilt || words.size() != 4)
+                return spoil("an answer that can't be read");
+            // Copied, since what it leads to may destroy this connection with its buffer.
+            const std::string id(words[0]), word(words[1]), fields(words[2]), body(words[3]);
+            in.take(size);
+            if (!take(id, word, fields, body) || here.expired()) return;
+        }
+    }
+    void on_closed(net::Closed how) override {
+        const bool never = how == net::Closed::refused || how == net::Closed::too_late;
+        ++(never ? link.counters_.refused : link.counters_.broken);
+        end_all(never ? How::refused : How::lost, never ? "no connection" : "the connection ended");
+    }
+
+    // False: this connection is no more.
+    bool take(const std::string& id, const std::string& word, const std::string& text,
+              const std::string& body) {
+        if (word == "PONG") return true;
+        std::vector<std::pair<std::string_view, std::string_view>> fields;
+        if (!decide::read_fields(text, fields)) return spoil("fields that can't be read"), false;
+        const auto field = [&](std::string_view name) -> std::string_view {
+            for (const auto& [key, value] : fields)
+                if (key == name) return value;
+            return {};
+        };
+        const auto found = open.find(id);
+        if (found == open.end()) return ++link.counters_.unasked, true;
+        Exchange& e = *found->second;
+        ExchangeEnd end;
+        end.report = report_of(field("gauges"));
+        if (end.report) report = end.report;
+        if (word == "INFO") {
+            const auto value = to_number<double>(field("amount"));
+            const auto note = field("res");
+            if (!value) return true;  // no note in it
+            const std::weak_ptr<char> here = alive;
+            if (note == "so_far") e.events_.on_note(NoteTopic::progress, *value);
+            else if (note == "lacking") e.events_.on_note(NoteTopic::spills, *value);
+            else if (note == "waiting") e.events_.on_note(NoteTopic::waits, *value);
+            return !here.expired();
+        }
+        if (word == "HIT") {
+            if (e.pages_.begun()) return ++link.counters_.unasked, true;
+            const auto pages = to_number<std::size_t>(field("chunks"));
+            if (!e.pages_.begin(pages.value_or(1), body)) return spoil("a page that can't be read"), false;
+            e.work_ms_ = to_number<double>(field("spent")).value_or(0);
+            e.needed_mb_ = to_number<double>(field("wanted")).value_or(0);
+            e.report_ = end.report;
+            for (std::size_t n = 1; n < e.pages_.pages(); ++n)
+                stream->send(resp::array({"page", id, std::to_string(n)}));
+        } else if (word == "PART") {
+            switch (e.pages_.take(to_number<std::size_t>(field("at")).value_or(0), body)) {
+                case decide::ResultPages::Took::page: break;
+                case decide::ResultPages::Took::not_asked: return ++link.counters_.unasked, true;
+                case decide::ResultPages::Took::spoilt: return spoil("a page that can't be read"), false;
+            }
+        } else if (word == "SHED" || word == "LATE" || word == "FAULT") {
+            if (word != "FAULT" && e.pages_.begun()) return spoil("an end after a result"), false;
+            end.how = word == "SHED" ? How::shed : word == "LATE" ? How::late : How::fault;
+            end.why = body.substr(0, 80);
+            return finish(e, std::move(end));
+        } else {
+            return spoil("an answer of an unknown kind"), false;
+        }
+        if (!e.pages_.whole()) return true;
+        end.how = How::served;
+        end.rows = e.pages_.rows();
+        end.work_ms = e.work_ms_, end.needed_mb = e.needed_mb_, end.report = e.report_;
+        return finish(e, std::move(end));
+    }
+
+    bool finish(Exchange& e, ExchangeEnd end) {
+        release(e);
+        const std::weak_ptr<char> here = alive;
+        e.events_.on_end(std::move(end));
+        if (here.expired()) return false;
+        return tidy();
+    }
+    void release(Exchange& e) {
+        open.erase(e.id_);
+        e.on_ = nullptr;
+        used = link.loop_.now();
+    }
+    // Closes what is of no further use. False: this connection is no more.
+    bool tidy() {
+        if (!retired || !open.empty()) return true;
+        link.over(*this);
+        return false;
+    }
+    void spoil(const char* why) {
+        ++link.counters_.spoilt;
+        end_all(How::lost, why);
+    }
+    void end_all(How how, const char* why) {
+        stream.reset();
+        const auto ended = std::exchange(open, {});
+        for (const auto& [id, e] : ended) e->on_ = nullptr;
+        const std::weak_ptr<char> here = alive;
+        auto* const owner = &link;
+        std::vector<Events*> told;
+        for (const auto& [id, e] : ended) told.push_back(&e->events_);
+        owner->over(*this);  // `this` is no more: only what was copied counts from here
+        for (Events* events : told) {
+            ExchangeEnd end;
+            end.how = how, end.why = why;
+            events->on_end(std::move(end));
+        }
+    }
+
+    EngineLink& link;
+    std::unique_ptr<net::Stream> stream;
+    std::map<std::string, Exchange*> open;
+    std::set<std::string> ids;  // ever asked here: a second attempt under one of them goes elsewhere
+    std::optional<Report> report;
+    Micros used;
+    bool up = false, retired = false;
+    std::shared_ptr<char> alive = std::make_shared<char>();
+};
+
+Exchange::~Exchange() {
+    if (!on_) return;
+    Connection& c = *on_;
+    const bool whole_left = pages_.begun();
+    if (c.stream) c.stream->send(resp::array({whole_left ? "forget" : "undo", id_}));
+    c.release(*this);
+    // Whatever still comes under this id must not count for another attempt, and one whose answer never comes
+    // serves no further use.
+    c.retired = true;
+    c.tidy();
+}
+
+void Exchange::priority(int level) {
+    if (on_ && on_->stream && !pages_.begun())
+        on_->stream->send(resp::array({"bump", id_, std::to_string(level)}));
+}
+
+EngineLink::EngineLink(net::Loop& loop, net::Address address, LinkLimits limits, LinkCounters& counters)
+    : loop_(loop), address_(std::move(address)), limits_(limits), counters_(counters) {}
+
+EngineLink::~EngineLink() {
+    for (auto& c : connections_)
+        for (auto& [id, e] : c->open) e->on_ = nullptr;
+}
+
+std::size_t EngineLink::open() const {
+    std::size_t n = 0;
+    for (const auto& c : connections_) n += c->open.size();
+    return n;
+}
+
+Exchange::Connection* EngineLink::choose(const std::string& id) {
+    Exchange::Connection* best = nullptr;
+    std::size_t usable = 0;
+    for (const auto& c : connections_) {
+        if (c->retired || c->ids.size() >= kIdsMost || c->open.size() >= limits_.streams) continue;
+        ++usable;
+        if (c->ids.contains(id)) continue;
+        const bool stale = c->open.empty() && limits_.idle_close > 0 &&
+                           loop_.now() - c->used > limits_.idle_close - kIdleMargin;
+        // Of those with the fewest requests the one used last: the others may idle away.
+        if (!stale &&
+            (!best || std::pair(c->open.size(), -c->used) < std::pair(best->open.size(), -best->used)))
+            best = c.get();
+    }
+    if (best && (best->open.empty() || usable >= limits_.connections)) return best;
+    connections_.push_back(std::make_unique<Exchange::Connection>(*this));
+    auto& fresh = *connections_.back();
+    fresh.stream = loop_.connect(address_, fresh, limits_.connect_time_out);
+    ++counters_.opened;
+    return &fresh;
+}
+
+std::unique_ptr<Exchange> EngineLink::ask(const std::string& id, const std::string& fields,
+                                          std::string_view body, Exchange::Events& events) {
+    auto* c = choose(id);
+    std::unique_ptr<Exchange> e(new Exchange(id, events));
+    e->on_ = c;
+    c->open.emplace(id, e.get());
+    c->ids.insert(id);
+    c->stream->send(resp::array({"do", id, fields, body}));
+    return e;
+}
+
+void EngineLink::over(Exchange::Connection& c) {
+    const auto at = std::find_if(connections_.begin(), connections_.end(),
+                                 [&](const auto& held) { return held.get() == &c; });
+    if (at == connections_.end()) return;
+    const auto kept = std::move(*at);  // destroyed when this returns
+    connections_.erase(at);
+}
+
+void EngineLink::close_idle() {
+    if (limits_.idle_close <= 0) return;
+    std::erase_if(connections_, [&](const auto& c) {
+        return c->open.empty() && loop_.now() - c->used > limits_.idle_close - kIdleMargin;
+    });
+}
+
+bool EngineLink::drop_one_idle() {
+    const auto at =
+        std::find_if(connections_.begin(), connections_.end(), [](const auto& c) { return c->open.empty(); });
+    if (at == connections_.end()) return false;
+    connections_.erase(at);
+    return true;
+}
+
+}  // namespace gatetiller::node
--- /dev/null
+++ b/src/node/engine_link.hpp
@@ -0,0 +1,87 @@
+// The connections to one engine, and the requests out on them. A connection carries one request where there
+// are connections enough, since whatever breaks one breaks all that is open on it; past their number they are
+// shared.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "decide/exchange.hpp"
+#include "net/loop.hpp"
+#include "policy/brain.hpp"
+
+namespace gatetiller::node {
+
+struct LinkLimits {
+    std::size_t connections = 8;
+    std::size_t streams = 100;  // requests on one connection
+    Micros connect_time_out = 250 * kMillisecond;
+    Micros idle_close = 0;  // the engine's; 0: never
+};
+
+struct LinkCounters {  // of all links
+    std::uint64_t opened = 0, refused = 0, broken = 0, spoilt = 0, unasked = 0;
+};
+
+class EngineLink;
+
+// One request out at an engine. Destroying it gives it up, where it is not over.
+class Exchange {
+public:
+    struct Events {
+        virtual ~Events() = default;
+        virtual void on_note(NoteTopic topic, double value) = 0;
+        virtual void on_end(
+            decide::ExchangeEnd end) = 0;  // the last call; the exchange may be destroyed in it
+    };
+    ~Exchange();
+    Exchange(const Exchange&) = delete;
+    Exchange& operator=(const Exchange&) = delete;
+    void priority(int level);
+
+private:
+    friend class EngineLink;
+    struct Connection;
+    Exchange(std::string id, Events& events) : id_(std::move(id)), events_(events) {}
+
+    std::string id_;
+    Events& events_;
+    Connection* on_ = nullptr;  // none: it is over
+    decide::ResultPages pages_;
+    double work_ms_ = 0, needed_mb_ = 0;  // as its first answer told
+    std::optional<Report> report_;
+};
+
+class EngineLink {
+public:
+    EngineLink(net::Loop& loop, net::Address address, LinkLimits limits, LinkCounters& counters);
+    ~EngineLink();  // gives up what is open without a word to its owners
+    EngineLink(const EngineLink&) = delete;
+    EngineLink& operator=(const EngineLink&) = delete;
+
+    // Sends a request. `fields` as on the wire. Its end comes in a later turn, never from within this call.
+    std::unique_ptr<Exchange> ask(const std::string& id, const std::string& fields, std::string_view body,
+                                  Exchange::Events& events);
+    std::size_t connections() const { return connections_.size(); }
+    std::size_t open() const;  // requests out
+    void close_idle();         // those idle for nearly as long as the engine leaves them open
+    bool drop_one_idle();      // to make room for another engine's; false: none is idle
+
+private:
+    friend class Exchange;
+    Exchange::Connection* choose(const std::string& id);
+    void over(Exchange::Connection& c);  // has ended or is of no further use: closed and freed
+
+    net::Loop& loop_;
+    net::Address address_;
+    LinkLimits limits_;
+    LinkCounters& counters_;
+    std::vector<std::unique_ptr<Exchange::Connection>> connections_;
+};
+
+}  // namespace gatetiller::node
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,354 @@
+#include "node/node.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/overloaded.hpp"
+#include "decide/patience.hpp"
+#include "decide/table_group.hpp"
+
+namespace gatetiller::node {
+namespace {
+
+using decide::Happening;
+using How = decide::ExchangeEnd::How;
+
+constexpr const char* kService = "_work._tcp.fleet.local";
+constexpr Micros kAnswerReserve = 5 * kMillisecond;  // for an answer's way to its client
+constexpr Micros kTick = kSecondMicros;
+constexpr int kStatusTicks = 5;
+constexpr Micros kDrainLook = 20 * kMillisecond;
+
+}  // namespace
+
+struct Node::Attempt final : Exchange::Events {
+    Attempt(Node& n, Running& r, int no, EngineId e)
+        : node(n), running(r), number(no), engine(e), sent(n.loop_.now()) {}
+    ~Attempt() override { node.loop_.cancel(timer); }
+    void on_note(NoteTopic topic, double value) override;
+    void on_end(decide::ExchangeEnd end) override { node.on_end(*this, std::move(end)); }
+
+    Node& node;
+    Running& running;
+    int number;
+    EngineId engine;
+    Micros sent;
+    net::TimerId timer = 0;
+    bool over = false;
+    std::unique_ptr<Exchange> exchange;
+};
+
+struct Node::Running {
+    std::string id, token, body;
+    const ClassSettings* cls = nullptr;
+    std::string tenant;
+    Clients::Id client = 0;
+    std::int32_t seq = 0;
+    Micros arrived = 0, deadline = 0;
+    double grant_mb = 0;
+    int priority = 1;
+    std::vector<std::unique_ptr<Attempt>> attempts;
+    decide::Life life;
+
+    Attempt* out() { return life.out() ? attempts.back().get() : nullptr; }
+};
+
+void Node::Attempt::on_note(NoteTopic topic, double value) {
+    if (!over) node.driver_.post(Note{running.id, number, engine, topic, value});
+}
+
+Node::Node(net::Loop& loop, NodeSettings settings, NodeDeps deps)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      deps_(std::move(deps)),
+      bounds_(decide::bounds_of(settings_.sockets, settings_.memory_mb)),
+      driver_(loop, settings_.seed, settings_.module, [this](const Action& a) { carry_out(a); }),
+      clients_(loop, bounds_,
+               {[this](Clients::Id c, thrift::Call call) { requested(c, std::move(call)); },
+                [this](Clients::Id c, std::int32_t seq) { given_up(c, seq); }}),
+      dns_(loop, kService, settings_.seed, {},
+           {[this](std::uint64_t n, std::vector<decide::ListedEngine> list) { take_list(n, list); },
+            [this](const std::string&) { ++bad_lists_; }}) {}
+
+Node::~Node() {
+    for (const auto timer : {free_timer_, tick_timer_, drain_timer_}) loop_.cancel(timer);
+}
+
+Result<net::Address> Node::start() {
+    driver_.start();
+    take_list(settings_.known_number, settings_.known);
+    net::Address from = settings_.listen;
+    from.port = 0;
+    if (auto asked = dns_.start(from, settings_.dns); !asked) return Error{asked.error()};
+    auto bound = clients_.listen(settings_.listen);
+    tick_timer_ = loop_.after(kTick, [this] { tick(); });
+    return bound;
+}
+
+void Node::reload(const NodeSettings& s) {
+    if (s.dns != settings_.dns) deps_.log("the name service is asked at " + s.dns.text() + " from now on");
+    settings_.dns = s.dns;
+    dns_.move(s.dns);
+}
+
+// ---- The list of engines
+
+void Node::take_list(std::uint64_t number, const std::vector<decide::ListedEngine>& list) {
+    auto change = list_.take(number, list, loop_.now(), loop_.wall());
+    if (!change) return;
+    LinkLimits limits;
+    limits.connections =
+        std::max<std::size_t>(1, bounds_.engines / std::max<std::size_t>(1, list_.engines().size()));
+    limits.streams = static_cast<std::size_t>(settings_.streams);
+    limits.connect_time_out = settings_.connect_time_out;
+    limits.idle_close = settings_.idle_close;
+    for (const auto& [id, listed] : list_.engines()) {
+        Engine& e = engines_[id];
+        if (e.link && e.address == listed.address) continue;
+        const auto at = net::Address::parse(listed.address);
+        if (!at) continue;
+        e.name = listed.name, e.address = listed.address;
+        e.link = std::make_unique<EngineLink>(loop_, *at, limits, link_counters_);
+    }
+    for (auto& [id, e] : engines_) e.listed = list_.engines().contains(id);
+    driver_.post(std::move(*change));
+}
+
+// ---- Requests come and go
+
+Node::Running* Node::find(const std::string& id) {
+    const auto found = running_.find(id);
+    return found == running_.end() ? nullptr : found->second.get();
+}
+
+void Node::requested(Clients::Id client, thrift::Call call) {
+    const auto turned_away = [&](const char* how, std::string frame) {
+        ++ended_[how];
+        clients_.reply(client, call.seq, std::move(frame));
+    };
+    auto checked = decide::check_request(call.fields, call.body, settings_.module);
+    if (!checked) {
+        if (deps_.trace) deps_.trace("turned away: " + checked.error());
+        return turned_away("malformed", thrift::exception("process", call.seq, thrift::Fault::invalid_type,
+                                                          checked.error()));
+    }
+    const auto full = [&] {
+        thrift::Fields hint;
+        if (settings_.module.retry_hints)
+            hint["pause"] = std::to_string(settings_.module.max_retry_after / kMillisecond);
+        return thrift::rejected(call.seq, hint);
+    };
+    if (running_.contains(checked->id)) return turned_away("twice", full());
+    if (running_.size() >= bounds_.requests || statement_bytes_ + call.body.size() > bounds_.statement_bytes)
+        return turned_away("no_room", full());
+    const Micros left = decide::time_left(checked->patience, loop_.unseen(), kAnswerReserve);
+    auto r = std::make_unique<Running>();
+    r->id = checked->id, r->token = checked->token, r->body = std::move(call.body);
+    r->cls = checked->cls, r->tenant = checked->tenant;
+    r->client = client, r->seq = call.seq;
+    r->arrived = loop_.now(), r->deadline = r->arrived + left;
+    statement_bytes_ += r->body.size();
+    Demand d{r->id, r->cls->name,  r->tenant,          "",
+             left,  checked->cost, checked->memory_mb, decide::table_group(r->body),
+             false};
+    asked_[{client, call.seq}] = r->id;
+    running_.emplace(r->id, std::move(r));
+    driver_.post(std::move(d));
+}
+
+void Node::given_up(Clients::Id client, std::int32_t seq) {
+    const auto found = asked_.find({client, seq});
+    if (found == asked_.end()) return;
+    Running* r = find(found->second);
+    asked_.erase(found);
+    if (!r || !r->life.take(Happening::left)) return;
+    ++ended_["given_up"];
+    driver_.post(Gone{r->id});
+    if (r->life.freeable()) free_later(r->id);
+}
+
+// The client's one final answer.
+void Node::finish(Running& r, std::string frame, const char* how) {
+    if (!r.life.take(Happening::answer)) return;
+    r.life.take(Happening::final_given);
+    ++ended_[how];
+    if (deps_.trace)
+        deps_.trace(r.id + " " + r.cls->name + " " + how + " attempts=" + std::to_string(r.attempts.size()) +
+                    " ms=" + std::to_string((loop_.now() - r.arrived) / kMillisecond) +
+                    " left_ms=" + std::to_string((r.deadline - loop_.now()) / kMillisecond));
+    asked_.erase({r.client, r.seq});
+    clients_.reply(r.client, r.seq, std::move(frame));
+    if (r.life.freeable()) free_later(r.id);
+}
+
+void Node::refuse(Running& r, Micros come_back, const char* how) {
+    thrift::Fields hint;
+    if (come_back > 0) hint["pause"] = std::to_string(std::max<Micros>(1, come_back / kMillisecond));
+    finish(r, thrift::rejected(r.seq, hint), how);
+}
+
+// Not at once: the calls that led here still stand on the request.
+void Node::free_later(const std::string& id) {
+    to_free_.push_back(id);
+    if (free_timer_ != 0) return;
+    free_timer_ = loop_.after(0, [this] {
+        free_timer_ = 0;
+        for (const auto& done : std::exchange(to_free_, {})) {
+            const auto found = running_.find(done);
+            if (found == running_.end()) continue;
+            statement_bytes_ -= found->second->body.size();
+            running_.erase(found);
+        }
+    });
+}
+
+// ---- Actions of the module
+
+void Node::carry_out(const Action& action) {
+    std::visit(Overloaded{[&](const Send& a) { send(a); },
+                          [&](const Terms& a) {
+                              Running* r = find(a.id);
+                              if (!r) return;
+                              r->grant_mb = a.grant_mb;
+                              const bool changed = std::exchange(r->priority, a.priority) != a.priority;
+                              if (Attempt* out = r->out(); out && out->exchange && changed)
+                                  out->exchange->priority(a.priority);
+                          },
+                          [&](const Refuse& a) {
+                              if (Running* r = find(a.id)) refuse(*r, a.come_back, "refused");
+                          },
+                          [&](const Fail& a) {
+                              if (Running* r = find(a.id)) finish(*r, thrift::crashed(r->seq, {}), "failed");
+                          },
+                          [&](const Cancel& a) {
+                              Running* r = find(a.id);
+                              if (!r || a.attempt < 0 || a.attempt >= static_cast<int>(r->attempts.size()))
+                                  return;
+                              Attempt& attempt = *r->attempts[static_cast<std::size_t>(a.attempt)];
+                              complete(attempt, Outcome::ecanceled, r->life.finished());
+                          },
+                          [&](const Probe& a) {
+                              // Engines here tell their load with answers alone: nothing to ask them.
+                              driver_.post(Probed{a.engine, 0, Outcome::skipped, std::nullopt});
+                          },
+                          [&](const Tell&) {},       // no peers here: the settings never allow it
+                          [&](const Observe&) {},    // the name service is asked all the time
+                          [&](const SetTimer&) {}},  // the driver keeps the timers
+               action);
+}
+
+void Node::send(const Send& action) {
+    Running* r = find(action.id);
+    if (!r) return;
+    r->attempts.push_back(
+        std::make_unique<Attempt>(*this, *r, static_cast<int>(r->attempts.size()), action.engine));
+    Attempt& a = *r->attempts.back();
+    const auto found = engines_.find(action.engine);
+    if (found != engines_.end()) ++found->second.out;
+    if (!r->life.take(Happening::sent)) return complete(a, Outcome::skipped, r->life.finished());
+    if (found == engines_.end() || !found->second.link) return complete(a, Outcome::econnrefused, false);
+    const Micros until = r->deadline - a.sent;
+    const Micros limit = action.time_out > 0 ? std::min(action.time_out, until) : until;
+    std::string fields =
+        "kind=" + r->cls->name + ",ms=" + std::to_string(std::max<Micros>(1, limit / kMillisecond));
+    if (!r->token.empty()) fields += ",token=" + r->token;
+    if (settings_.module.grants && r->grant_mb > 0)
+        fields += ",reserve=" + std::to_string(static_cast<std::int64_t>(std::ceil(r->grant_mb)));
+    if (settings_.module.priorities) fields += ",level=" + std::to_string(r->priority);
+    a.timer = loop_.after(limit, [this, &a] {
+        a.timer = 0;
+        complete(a, Outcome::etimedout, a.running.life.finished());
+    });
+    a.exchange = found->second.link->ask(r->id, fields, r->body, a);
+}
+
+void Node::complete(Attempt& a, Outcome outcome, bool finished, decide::ExchangeEnd* end) {
+    if (std::exchange(a.over, true)) return;
+    loop_.cancel(std::exchange(a.timer, 0));
+    a.exchange.reset();  // gives it up at the engine, where it is not over
+    Running& r = a.running;
+    if (outcome != Outcome::skipped || r.out() == &a) r.life.take(Happening::attempt_over);
+    if (const auto found = engines_.find(a.engine); found != engines_.end()) --found->second.out;
+    Completed c{r.id, a.number, a.engine, outcome, loop_.now() - a.sent, finished, 0, 0, std::nullopt};
+    if (end) {
+        c.report = end->report;
+        if (outcome == Outcome::done && settings_.module.cost_in_answers)
+            c.work_ms = end->work_ms, c.needed_mb = end->needed_mb;
+    }
+    if (deps_.trace && outcome != Outcome::done) {
+        static constexpr const char* kNames[] = {"done",         "err",        "busy",      "etimedout",
+                                                 "econnrefused", "econnreset", "ecanceled", "skipped"};
+        const auto found = engines_.find(a.engine);
+        deps_.trace(r.id + " " + r.cls->name + " attempt " + std::to_string(a.number) + " at " +
+                    (found == engines_.end() ? "?" : found->second.name) + " " +
+                    kNames[static_cast<int>(outcome)] + " ms=" + std::to_string(c.taken / kMillisecond) +
+                    (end ? " " + end->why : ""));
+    }
+    driver_.post(std::move(c));
+    if (r.life.freeable()) free_later(r.id);
+}
+
+void Node::on_end(Attempt& a, decide::ExchangeEnd end) {
+    if (a.over) return;
+    Running& r = a.running;
+    const Outcome outcome = decide::outcome_of(end.how);
+    if (end.how != How::served || r.life.finished()) return complete(a, outcome, r.life.finished(), &end);
+    std::string frame = thrift::answer("process", r.seq, end.rows);
+    r.life.take(Happening::attempt_over);
+    finish(r, std::move(frame), "served");
+    complete(a, outcome, true, &end);
+}
+
+// ---- Operating it
+
+void Node::tick() {
+    tick_timer_ = loop_.after(kTick, [this] { tick(); });
+    for (auto it = engines_.begin(); it != engines_.end();) {
+        if (!it->second.listed && it->second.out == 0) {
+            it = engines_.erase(it);
+            continue;
+        }
+        if (it->second.link) it->second.link->close_idle();
+        ++it;
+    }
+    if (++ticks_ % kStatusTicks == 0) deps_.log(status());
+}
+
+std::string Node::status() const {
+    std::string engines, ended;
+    for (const auto& [id, e] : engines_)
+        engines += (engines.empty() ? "" : ",") + e.name + ":" + std::to_string(e.out) + "/" +
+                   std::to_string(e.link ? e.link->open() : 0) + "/" +
+                   std::to_string(e.link ? e.link->connections() : 0);
+    for (const auto& [how, n] : ended_) ended += " " + how + "=" + std::to_string(n);
+    const auto& c = clients_.counters();
+    return "requests=" + std::to_string(running_.size()) +
+           " clients=" + std::to_string(clients_.connections()) + " list=" + std::to_string(list_.number()) +
+           " engines(module/sockets/connections)=" + engines + ended +
+           " accepted=" + std::to_string(c.accepted) + " malformed=" + std::to_string(c.malformed) +
+           " evicted=" + std::to_string(c.evicted) + " overdue=" + std::to_string(c.overdue) +
+           " too_many=" + std::to_string(c.too_many) + " opened=" + std::to_string(link_counters_.opened) +
+           " no_connection=" + std::to_string(link_counters_.refused) +
+           " broken=" + std::to_string(link_counters_.broken) +
+           " spoilt=" + std::to_string(link_counters_.spoilt) +
+           " unasked=" + std::to_string(link_counters_.unasked) + " bad_lists=" + std::to_string(bad_lists_);
+}
+
+void Node::drain(std::function<void()> done) {
+    if (draining_since_ > 0) return;
+    draining_since_ = loop_.now();
+    drained_ = std::move(done);
+    deps_.log("draining: " + status());
+    look_drained();
+}
+
+void Node::look_drained() {
+    const Micros since = loop_.now() - draining_since_;
+    if (since > kSecondMicros && running_.empty()) {
+        deps_.log("drained: " + status());
+        return drained_();
+    }
+    drain_timer_ = loop_.after(kDrainLook, [this] { look_drained(); });
+}
+
+}  // namespace gatetiller::node
--- /dev/null
+++ b/src/roster/dns_source.cpp
@@ -0,0 +1,91 @@
+#include "roster/dns_source.hpp"
+
+#include <algorithm>
+
+#include "base/text.hpp"
+#include "dns/dns.hpp"
+
+namespace gatetiller::roster {
+namespace {
+
+constexpr std::size_t kAsked = 8;
+
+// The list that an answer holds; an error where a service lacks its address.
+Result<std::vector<decide::ListedEngine>> list_of(const dns::Answer& answer) {
+    std::vector<decide::ListedEngine> list;
+    for (const auto& s : answer.services) {
+        decide::ListedEngine e;
+        const std::size_t dot = s.target.find('.'), second = s.target.find('.', dot + 1);
+        if (dot == std::string::npos) return Error{"a target without a zone: " + s.target};
+        e.name = s.target.substr(0, dot);
+        e.zone = s.target.substr(dot + 1, second == std::string::npos ? second : second - dot - 1);
+        const auto address = answer.addresses.find(s.target);
+        if (address == answer.addresses.end()) return Error{"no address of " + s.target};
+        e.address = address->second + ":" + std::to_string(s.port);
+        e.state = s.priority == 0 ? EngineState::on : EngineState::fading;
+        e.share = s.weight / 10.0;
+        if (const auto texts = answer.texts.find(s.target); texts != answer.texts.end())
+            for (const std::string_view text : texts->second) {
+                const std::size_t equals = text.find('=');
+                if (equals == std::string_view::npos) continue;
+                const auto key = text.substr(0, equals), value = text.substr(equals + 1);
+                if (key == "kind") e.kind = value;
+                else if (key == "cell") e.cell = to_number<std::int64_t>(value).value_or(0);
+                else if (key == "started")
+                    e.started = to_number<std::int64_t>(value).value_or(0) * kMillisecond;
+            }
+        list.push_back(std::move(e));
+    }
+    return list;
+}
+
+}  // namespace
+
+DnsSource::DnsSource(net::Loop& loop, std::string name, std::uint64_t seed, DnsTimes times, Events events)
+    : loop_(loop), name_(std::move(name)), random_(seed), times_(times), events_(std::move(events)) {}
+
+DnsSource::~DnsSource() { loop_.cancel(timer_); }
+
+Result<bool> DnsSource::start(const net::Address& from, const net::Address& service) {
+    service_ = service;
+    auto socket = loop_.datagrams(
+        from, [this](const net::Address& sender, std::string_view bytes) { took(sender, bytes); });
+    if (!socket) return Error{socket.error()};
+    socket_ = std::move(*socket);
+    ask();
+    return true;
+}
+
+void DnsSource::move(const net::Address& service) {
+    if (service == service_) return;
+    service_ = service;
+    asked_.clear();  // what the old one still says counts no more
+    if (socket_) ask();
+}
+
+void DnsSource::ask() {
+    loop_.cancel(timer_);
+    const auto id = static_cast<std::uint16_t>(random_.next());
+    asked_.push_back(id);
+    if (asked_.size() > kAsked) asked_.pop_front();
+    socket_->send(service_, dns::srv_question(id, name_));
+    timer_ = loop_.after(times_.patience, [this] { ask(); });
+}
+
+void DnsSource::took(const net::Address& from, std::string_view bytes) {
+    if (from != service_ || bytes.size() < 2) return;
+    const auto id = static_cast<std::uint16_t>(static_cast<unsigned char>(bytes[0]) << 8 |
+                                               static_cast<unsigned char>(bytes[1]));
+    const auto asked = std::find(asked_.begin(), asked_.end(), id);
+    if (asked == asked_.end()) return events_.bad("an answer under an id not asked with");
+    const auto answer = dns::read_answer(bytes, id, name_);
+    if (!answer) return events_.bad(answer.error());
+    auto list = list_of(*answer);
+    if (!list) return events_.bad(list.error());
+    asked_.erase(asked);
+    loop_.cancel(timer_);
+    timer_ = loop_.after(times_.every, [this] { ask(); });
+    events_.list(answer->serial, std::move(*list));
+}
+
+}  // namespace gatetiller::roster
--- a/src/sim/virtual_loop.cpp
+++ b/src/sim/virtual_loop.cpp
@@ -197,4 +197,39 @@
     return std::make_unique<EndStream>(std::move(mine));
 }
 
+struct VirtualLoop::Post {
+    net::Address address;
+    net::Datagrams::Received received;
+};
+
+// Datagrams may overtake each other: each has a delay of its own.
+class VirtualLoop::PostDatagrams final : public net::Datagrams {
+public:
+    PostDatagrams(VirtualLoop& loop, std::shared_ptr<Post> post) : loop_(loop), post_(std::move(post)) {}
+    void send(const net::Address& to, std::string_view bytes) override {
+        loop_.after(loop_.delay(),
+                    [&loop = loop_, from = post_->address, to = to.text(), copy = std::string(bytes)] {
+                        const auto found = loop.posts_.find(to);
+                        if (const auto post = found == loop.posts_.end() ? nullptr : found->second.lock())
+                            post->received(from, copy);
+                    });
+    }
+    const net::Address& address() const override { return post_->address; }
+
+private:
+    VirtualLoop& loop_;
+    std::shared_ptr<Post> post_;  // the loop holds it weakly: closed when this goes
+};
+
+Result<std::unique_ptr<net::Datagrams>> VirtualLoop::datagrams(const net::Address& at,
+                                                               net::Datagrams::Received received) {
+    auto post = std::make_shared<Post>(Post{at, std::move(received)});
+    if (at.port == 0) post->address.port = next_port_++;
+    auto& place = posts_[post->address.text()];
+    if (!place.expired())
+        return Error{"cannot receive datagrams on " + post->address.text() + ": it is taken"};
+    place = post;
+    return std::unique_ptr<net::Datagrams>(std::make_unique<PostDatagrams>(*this, std::move(post)));
+}
+
 }  // namespace gatetiller::sim
--- a/src/sim/virtual_loop.hpp
+++ b/src/sim/virtual_loop.hpp
@@ -37,6 +37,8 @@
         const net::Address& at, std::function<void(std::unique_ptr<net::Stream>)> accepted) override;
     std::unique_ptr<net::Stream> connect(const net::Address& to, net::StreamEvents& events,
                                          Micros time_out) override;
+    Result<std::unique_ptr<net::Datagrams>> datagrams(const net::Address& at,
+                                                      net::Datagrams::Received received) override;
 
     // The next event. False: none is left.
     bool step();
@@ -50,6 +52,8 @@
     struct Door;
     class EndStream;
     class DoorListener;
+    struct Post;
+    class PostDatagrams;
     Micros delay();
 
     VirtualSettings settings_;
@@ -60,6 +64,7 @@
     std::map<std::pair<Micros, net::TimerId>, std::function<void()>> due_;
     std::map<net::TimerId, Micros> when_;
     std::map<std::string, std::weak_ptr<Door>> doors_;
+    std::map<std::string, std::weak_ptr<Post>> posts_;
     std::uint16_t next_port_ = 20'000;
 };
 
--- /dev/null
+++ b/src/thrift/service.cpp
@@ -0,0 +1,69 @@
+#include "thrift/service.hpp"
+
+namespace gatetiller::thrift {
+namespace {
+
+constexpr std::uint32_t kVersionMask = 0xffffff00, kVersion = 0x80010000;
+constexpr std::size_t kFieldsMost = 64, kMethodMost = 64;
+
+std::string declared(std::int32_t seq, std::int16_t id, const Fields& fields) {
+    Writer w(MessageType::reply, "process", seq);
+    w.field(Type::structure, id);
+    w.field(Type::map, 1), w.fields(fields), w.stop();
+    w.stop();
+    return w.frame();
+}
+
+}  // namespace
+
+Result<Call> read_call(std::string_view frame) {
+    Reader r(frame);
+    Call call;
+    const auto head = static_cast<std::uint32_t>(r.i32());
+    const auto type = static_cast<MessageType>(head & 0xff);
+    if (!r.ok() || (head & kVersionMask) != kVersion) return Error{"not a strict binary message"};
+    if (type != MessageType::call && type != MessageType::oneway) return Error{"not a call"};
+    call.method = r.string();
+    call.seq = r.i32();
+    if (!r.ok() || call.method.size() > kMethodMost) return Error{"a message head that can't be read"};
+    call.what = call.method == "process"  ? Call::What::process
+                : call.method == "giveUp" ? Call::What::give_up
+                : call.method == "probe"  ? Call::What::probe
+                                          : Call::What::unknown;
+    std::int16_t id = 0;
+    bool number = false;
+    for (Type t = r.field(id); r.ok() && t != Type::stop; t = r.field(id)) {
+        if (call.what == Call::What::process && id == 1 && t == Type::map)
+            call.fields = r.fields(kFieldsMost);
+        else if (call.what == Call::What::process && id == 2 && t == Type::string) call.body = r.string();
+        else if (call.what == Call::What::give_up && id == 1 && t == Type::i32)
+            call.given_up = r.i32(), number = true;
+        else r.skip(t);
+    }
+    if (!r.ok() || !r.at_end()) return Error{"arguments of " + call.method + " that can't be read"};
+    if (call.what == Call::What::give_up && !number) return Error{"giveUp without a number"};
+    return call;
+}
+
+std::string answer(std::string_view method, std::int32_t seq, std::string_view body) {
+    Writer w(MessageType::reply, method, seq);
+    w.field(Type::structure, 0);
+    w.field(Type::string, 1), w.string(body);
+    w.field(Type::map, 2), w.fields({});
+    w.field(Type::boolean, 3), w.boolean(true), w.stop();
+    w.stop();
+    return w.frame();
+}
+
+std::string rejected(std::int32_t seq, const Fields& fields) { return declared(seq, 1, fields); }
+std::string crashed(std::int32_t seq, const Fields& fields) { return declared(seq, 2, fields); }
+
+std::string exception(std::string_view method, std::int32_t seq, Fault fault, std::string_view text) {
+    Writer w(MessageType::exception, method, seq);
+    w.field(Type::string, 1), w.string(text);
+    w.field(Type::i32, 2), w.i32(static_cast<std::int32_t>(fault));
+    w.stop();
+    return w.frame();
+}
+
+}  // namespace gatetiller::thrift
--- a/tests/bench/wire_test.cpp
+++ b/tests/bench/wire_test.cpp
@@ -5,6 +5,8 @@
 
 #include <sstream>
 
+#include "platform/settings.hpp"
+
 using namespace gatetiller;
 
 namespace {
@@ -40,7 +42,7 @@
 }
 
 TEST(Wire, ReadsSettings) {
-    const Settings s = wire::parse_settings(kSettings);
+    const Settings s = *platform::parse_settings(kSettings);
     ASSERT_EQ(s.classes.size(), 1u);
     EXPECT_EQ(s.classes[0].threads, 2);
     EXPECT_EQ(s.kinds[0].cores, 8);
--- a/tests/front/whole.hpp
+++ b/tests/front/whole.hpp
@@ -48,6 +48,10 @@
                                          Micros time_out) override {
         return below_.connect(to, events, time_out);
     }
+    Result<std::unique_ptr<net::Datagrams>> datagrams(const net::Address& at,
+                                                      net::Datagrams::Received received) override {
+        return below_.datagrams(at, std::move(received));
+    }
     Micros step = 0;
 
 private:
