Front node: orderly planned restarts, one pool of engine connections, tests of every part

Change: after SIGTERM the node serves on for 0.7 s, refuses later requests, and 0.3 s past the longest deadline (3 s at most) tells what is left: refused where harmless, failed otherwise (decide/planned_restart). Engine connections come from one pool for all engines; an idle one elsewhere is closed before one is shared. lab/platform: stand-ins of engine, name service and client on any loop; the rule checker reads the records of those other ends of the sockets.

A stand-in without a connect time-out in its settings refused all: the rig's fault.

--- a/src/decide/exchange.cpp
+++ b/src/decide/exchange.cpp
@@ -23,6 +23,10 @@
     return Outcome::econnreset;
 }
 
+bool never_ran(Outcome o) {
+    return o == Outcome::busy || o == Outcome::econnrefused || o == Outcome::skipped;
+}
+
 bool read_fields(std::string_view text, std::vector<std::pair<std::string_view, std::string_view>>& fields) {
     fields.clear();
     if (text == "-") return true;
--- a/src/decide/exchange.hpp
+++ b/src/decide/exchange.hpp
@@ -27,6 +27,8 @@
 };
 
 Outcome outcome_of(ExchangeEnd::How how);
+// Whether an attempt that ended so is known not to have run.
+bool never_ran(Outcome outcome);
 
 // The fields of an answer: "name=value,name=value" or "-". False where that can't be read.
 bool read_fields(std::string_view text, std::vector<std::pair<std::string_view, std::string_view>>& fields);
--- /dev/null
+++ b/src/lab/platform.hpp
@@ -0,0 +1,164 @@
+// Stand-ins for what a front node talks to on the platform: an engine (RESP), a name service (DNS) and a
+// client (Thrift), each on any loop, with faults on command. They record what really passed on their sockets
+// in the words of records.hpp, so that the checker of the rules reads a front node's day as it reads any
+// other.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/random.hpp"
+#include "lab/records.hpp"
+#include "net/loop.hpp"
+#include "thrift/service.hpp"
+
+namespace gatetiller::lab {
+
+struct PlatformFaults {
+    double shed = 0;       // share of requests answered SHED
+    double fault = 0;      // FAULT, after the work
+    double spoilt = 0;     // of answers replaced by what can't be read; the connection says nothing more
+    double reset = 0;      // of requests on which the connection ends under them
+    double silent = 0;     // of answers that never come
+    double doubled = 0;    // of answers sent twice, with one under an unknown id ahead
+    double lost_page = 0;  // of further pages answered FAULT
+    bool deaf = false;     // reads nothing more: a machine that vanished
+};
+
+struct PlatformEngineSettings {
+    std::string name;
+    std::size_t at_once = 8, waiting = 64;  // that run, and that wait in turn; more are shed
+    Micros note_every = 100 * kMillisecond;
+    std::uint64_t seed = 1;
+};
+
+// Runs what it is sent for as long as the statement's hints say (engine/service.hpp), one after another past
+// its room, and answers in pages. One listener for each front, so that it knows who asks.
+class PlatformEngine {
+public:
+    PlatformEngine(net::Loop& loop, PlatformEngineSettings settings, Records& records);
+    ~PlatformEngine();
+    Result<net::Address> listen(const std::string& front, const net::Address& at);
+    void set(const PlatformFaults& faults);
+    // Its process ends: connections break, listeners close, nothing of it is left.
+    void die();
+    const std::string& name() const { return settings_.name; }
+    std::size_t open() const;  // requests out by its sockets
+    std::set<std::string> open_ids(const std::string& front) const;
+    const std::vector<std::string>& unusable() const { return unusable_; }  // requests no front may send
+    std::vector<std::string> commands;  // other than `do`, as they came: "undo ID", "bump ID 2"
+
+private:
+    struct Connection;
+    struct Run;
+    void take(Connection& c, const std::vector<std::string_view>& words);
+    void start(const std::shared_ptr<Run>& run);
+    void note_later(const std::shared_ptr<Run>& run);
+    void answer(const std::shared_ptr<Run>& run);
+    void end(Run& run, const char* event);
+    void next();
+    void record(const std::string& event, const std::string& front, const std::string& id);
+    void say(Connection& c, std::string bytes);
+
+    net::Loop& loop_;
+    PlatformEngineSettings settings_;
+    Records& records_;
+    PlatformFaults faults_;
+    Random random_;
+    std::vector<std::unique_ptr<net::Listener>> listeners_;
+    std::vector<std::unique_ptr<Connection>> connections_;
+    std::deque<std::shared_ptr<Run>> line_;
+    std::size_t running_ = 0;
+    std::vector<std::string> unusable_;
+    std::shared_ptr<char> alive_ = std::make_shared<char>();
+};
+
+// The rows that an engine answers a statement with, as text.
+std::string rows_of(std::string_view sql, std::size_t rows);
+
+struct NameFaults {
+    double lost = 0, failure = 0, cut = 0, foreign = 0, old = 0;  // shares of answers
+    bool silent = false;
+};
+
+class NameService {
+public:
+    struct Entry {
+        std::string name, zone, kind;
+        std::map<std::string, net::Address> address;  // by front
+        bool draining = false;
+        std::int64_t cell = 0, started_ms = 0;
+    };
+    NameService(net::Loop& loop, Records& records, std::uint64_t seed);
+    Result<net::Address> listen(const std::string& front, const net::Address& at);
+    void close(const std::string& front) { sockets_.erase(front); }
+    void put(const Entry& entry);  // new or changed: one event
+    void remove(const std::string& name);
+    void set(const NameFaults& faults) { faults_ = faults; }
+    std::uint64_t number() const { return number_; }
+    std::string known(const std::string& front) const;  // the configuration's member of that name, as JSON
+
+private:
+    void asked(const std::string& front, const net::Address& from, std::string_view question);
+
+    net::Loop& loop_;
+    Records& records_;
+    Random random_;
+    NameFaults faults_;
+    std::map<std::string, std::unique_ptr<net::Datagrams>> sockets_;
+    std::map<std::string, Entry> entries_, before_;  // before_: one event ago
+    std::uint64_t number_ = 0;
+};
+
+class PlatformClient final : net::StreamEvents {
+public:
+    struct Ask {
+        std::string trace, cls, tenant, sql, nonce;
+        Micros patience = 0, aim = 0;
+        Micros grace = 70 * kMillisecond;  // an answer so long after is still in time, by the rules
+        std::size_t rows = 0;  // that a served answer must have
+    };
+    struct Got {
+        std::string how;  // served, refused, failed
+        std::string body;
+        thrift::Fields fields;
+    };
+    PlatformClient(net::Loop& loop, std::string front, const net::Address& to, Records& records);
+    ~PlatformClient() override;
+    std::int32_t ask(const Ask& a);  // its number
+    void give_up(std::int32_t seq);  // giveUp, by the client's own wish
+    void probe();
+    void raw(std::string bytes) { stream_->send(std::move(bytes)); }
+    std::size_t open() const { return open_.size(); }
+    bool ended() const { return ended_; }
+    bool ready() const { return ready_; }  // a probe was answered
+    const std::map<std::int32_t, Got>& got() const { return got_; }
+    std::size_t exceptions() const { return exceptions_; }
+
+private:
+    struct Open {
+        Ask ask;
+        net::TimerId patience = 0;
+    };
+    void on_data(Buffer& in) override;
+    void on_closed(net::Closed) override;
+    void take(std::string_view frame);
+    void record(const char* event, const Ask& a, std::string detail = "");
+
+    net::Loop& loop_;
+    std::string front_;
+    Records& records_;
+    std::unique_ptr<net::Stream> stream_;
+    std::map<std::int32_t, Open> open_;
+    std::map<std::int32_t, Got> got_;
+    std::int32_t last_ = 0;
+    std::size_t exceptions_ = 0;
+    bool ended_ = false, ready_ = false;
+};
+
+}  // namespace gatetiller::lab
--- a/src/lab/records.hpp
+++ b/src/lab/records.hpp
@@ -43,10 +43,13 @@
     engine::Entry entry;
 };
 
+// Beside what an engine journals of itself (engine/service.hpp), of one that speaks the platform's protocol: arrived,
+// and how it ended on its socket: hit, shed, fault, undone, connection_ended.
+
 // What the lab did, such as killing a front; and the facts that the rules are judged by.
 struct LabRecord {
     Micros at = 0;
-    std::string event;  // front_killed, front_started, front_stalled, engine_on, trouble
+    std::string event;  // front_killed, front_ended (by itself), front_started, front_stalled, engine_on, trouble
     std::string who, detail;
 };
 
--- a/src/node/engine_link.cpp
+++ b/src/node/engine_link.cpp
@@ -33,7 +33,8 @@
 }  // namespace
 
 struct Exchange::Connection final : net::StreamEvents {
-    Connection(EngineLink& l) : link(l), used(l.loop_.now()) {}
+    Connection(EngineLink& l) : link(l), used(l.loop_.now()) { ++link.pool_.open; }
+    ~Connection() override { --link.pool_.open; }
 
     void on_connected() override { up = true; }
     void on_data(Buffer& in) override {
@@ -53,7 +54,7 @@
     }
     void on_closed(net::Closed how) override {
         const bool never = how == net::Closed::refused || how == net::Closed::too_late;
-        ++(never ? link.counters_.refused : link.counters_.broken);
+        ++(never ? link.pool_.refused : link.pool_.broken);
         end_all(never ? How::refused : How::lost, never ? "no connection" : "the connection ended");
     }
 
@@ -69,7 +70,7 @@
             return {};
         };
         const auto found = open.find(id);
-        if (found == open.end()) return ++link.counters_.unasked, true;
+        if (found == open.end()) return ++link.pool_.unasked, true;
         Exchange& e = *found->second;
         ExchangeEnd end;
         end.report = report_of(field("gauges"));
@@ -85,7 +86,7 @@
             return !here.expired();
         }
         if (word == "HIT") {
-            if (e.pages_.begun()) return ++link.counters_.unasked, true;
+            if (e.pages_.begun()) return ++link.pool_.unasked, true;
             const auto pages = to_number<std::size_t>(field("chunks"));
             if (!e.pages_.begin(pages.value_or(1), body)) return spoil("a page that can't be read"), false;
             e.work_ms_ = to_number<double>(field("spent")).value_or(0);
@@ -96,7 +97,7 @@
         } else if (word == "PART") {
             switch (e.pages_.take(to_number<std::size_t>(field("at")).value_or(0), body)) {
                 case decide::ResultPages::Took::page: break;
-                case decide::ResultPages::Took::not_asked: return ++link.counters_.unasked, true;
+                case decide::ResultPages::Took::not_asked: return ++link.pool_.unasked, true;
                 case decide::ResultPages::Took::spoilt: return spoil("a page that can't be read"), false;
             }
         } else if (word == "SHED" || word == "LATE" || word == "FAULT") {
@@ -133,7 +134,7 @@
         return false;
     }
     void spoil(const char* why) {
-        ++link.counters_.spoilt;
+        ++link.pool_.spoilt;
         end_all(How::lost, why);
     }
     void end_all(How how, const char* why) {
@@ -179,8 +180,8 @@
         on_->stream->send(resp::array({"bump", id_, std::to_string(level)}));
 }
 
-EngineLink::EngineLink(net::Loop& loop, net::Address address, LinkLimits limits, LinkCounters& counters)
-    : loop_(loop), address_(std::move(address)), limits_(limits), counters_(counters) {}
+EngineLink::EngineLink(net::Loop& loop, net::Address address, LinkLimits limits, LinkPool& pool)
+    : loop_(loop), address_(std::move(address)), limits_(limits), pool_(pool) {}
 
 EngineLink::~EngineLink() {
     for (auto& c : connections_)
@@ -195,10 +196,8 @@
 
 Exchange::Connection* EngineLink::choose(const std::string& id) {
     Exchange::Connection* best = nullptr;
-    std::size_t usable = 0;
     for (const auto& c : connections_) {
         if (c->retired || c->ids.size() >= kIdsMost || c->open.size() >= limits_.streams) continue;
-        ++usable;
         if (c->ids.contains(id)) continue;
         const bool stale = c->open.empty() && limits_.idle_close > 0 &&
                            loop_.now() - c->used > limits_.idle_close - kIdleMargin;
@@ -207,11 +206,16 @@
             (!best || std::pair(c->open.size(), -c->used) < std::pair(best->open.size(), -best->used)))
             best = c.get();
     }
-    if (best && (best->open.empty() || usable >= limits_.connections)) return best;
+    // Shared where this engine has its number, or no descriptor is left for one more.
+    const auto may_open = [&] {
+        return connections_.size() < limits_.connections &&
+               (pool_.open < pool_.most || (pool_.make_room && pool_.make_room()));
+    };
+    if (best && (best->open.empty() || !may_open())) return best;
     connections_.push_back(std::make_unique<Exchange::Connection>(*this));
     auto& fresh = *connections_.back();
     fresh.stream = loop_.connect(address_, fresh, limits_.connect_time_out);
-    ++counters_.opened;
+    ++pool_.opened;
     return &fresh;
 }
 
--- a/src/node/engine_link.hpp
+++ b/src/node/engine_link.hpp
@@ -18,13 +18,16 @@
 namespace gatetiller::node {
 
 struct LinkLimits {
-    std::size_t connections = 8;
-    std::size_t streams = 100;  // requests on one connection
+    std::size_t connections = 8;  // to this engine
+    std::size_t streams = 100;    // requests on one connection
     Micros connect_time_out = 250 * kMillisecond;
     Micros idle_close = 0;  // the engine's; 0: never
 };
 
-struct LinkCounters {  // of all links
+// What all links of a front node share.
+struct LinkPool {
+    std::size_t most = 64, open = 0;  // connections
+    std::function<bool()> make_room;  // closes an idle one somewhere; false: none is idle
     std::uint64_t opened = 0, refused = 0, broken = 0, spoilt = 0, unasked = 0;
 };
 
@@ -59,7 +62,7 @@
 
 class EngineLink {
 public:
-    EngineLink(net::Loop& loop, net::Address address, LinkLimits limits, LinkCounters& counters);
+    EngineLink(net::Loop& loop, net::Address address, LinkLimits limits, LinkPool& pool);
     ~EngineLink();  // gives up what is open without a word to its owners
     EngineLink(const EngineLink&) = delete;
     EngineLink& operator=(const EngineLink&) = delete;
@@ -80,7 +83,7 @@
     net::Loop& loop_;
     net::Address address_;
     LinkLimits limits_;
-    LinkCounters& counters_;
+    LinkPool& pool_;
     std::vector<std::unique_ptr<Exchange::Connection>> connections_;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -48,6 +48,7 @@
     double grant_mb = 0;
     int priority = 1;
     std::vector<std::unique_ptr<Attempt>> attempts;
+    bool may_have_run = false;  // some attempt that is over
     decide::Life life;
 
     Attempt* out() { return life.out() ? attempts.back().get() : nullptr; }
@@ -68,7 +69,14 @@
                 [this](Clients::Id c, std::int32_t seq) { given_up(c, seq); }}),
       dns_(loop, kService, settings_.seed, {},
            {[this](std::uint64_t n, std::vector<decide::ListedEngine> list) { take_list(n, list); },
-            [this](const std::string&) { ++bad_lists_; }}) {}
+            [this](const std::string&) { ++bad_lists_; }}),
+      restart_(decide::restart_times(settings_.module)) {
+    pool_.most = bounds_.engines;
+    pool_.make_room = [this] {
+        return std::any_of(engines_.begin(), engines_.end(),
+                           [](const auto& e) { return e.second.link && e.second.link->drop_one_idle(); });
+    };
+}
 
 Node::~Node() {
     for (const auto timer : {free_timer_, tick_timer_, drain_timer_}) loop_.cancel(timer);
@@ -97,8 +105,7 @@
     auto change = list_.take(number, list, loop_.now(), loop_.wall());
     if (!change) return;
     LinkLimits limits;
-    limits.connections =
-        std::max<std::size_t>(1, bounds_.engines / std::max<std::size_t>(1, list_.engines().size()));
+    limits.connections = std::max<std::size_t>(1, bounds_.engines / 2);  // the pool bounds them all together
     limits.streams = static_cast<std::size_t>(settings_.streams);
     limits.connect_time_out = settings_.connect_time_out;
     limits.idle_close = settings_.idle_close;
@@ -108,7 +115,7 @@
         const auto at = net::Address::parse(listed.address);
         if (!at) continue;
         e.name = listed.name, e.address = listed.address;
-        e.link = std::make_unique<EngineLink>(loop_, *at, limits, link_counters_);
+        e.link = std::make_unique<EngineLink>(loop_, *at, limits, pool_);
     }
     for (auto& [id, e] : engines_) e.listed = list_.engines().contains(id);
     driver_.post(std::move(*change));
@@ -139,6 +146,8 @@
         return thrift::rejected(call.seq, hint);
     };
     if (running_.contains(checked->id)) return turned_away("twice", full());
+    if (draining_since_ > 0 && loop_.now() - draining_since_ >= restart_.takes_new)
+        return turned_away("ending", thrift::rejected(call.seq, {}));
     if (running_.size() >= bounds_.requests || statement_bytes_ + call.body.size() > bounds_.statement_bytes)
         return turned_away("no_room", full());
     const Micros left = decide::time_left(checked->patience, loop_.unseen(), kAnswerReserve);
@@ -268,6 +277,7 @@
     a.exchange.reset();  // gives it up at the engine, where it is not over
     Running& r = a.running;
     if (outcome != Outcome::skipped || r.out() == &a) r.life.take(Happening::attempt_over);
+    r.may_have_run = r.may_have_run || !decide::never_ran(outcome);
     if (const auto found = engines_.find(a.engine); found != engines_.end()) --found->second.out;
     Completed c{r.id, a.number, a.engine, outcome, loop_.now() - a.sent, finished, 0, 0, std::nullopt};
     if (end) {
@@ -327,11 +337,10 @@
            " engines(module/sockets/connections)=" + engines + ended +
            " accepted=" + std::to_string(c.accepted) + " malformed=" + std::to_string(c.malformed) +
            " evicted=" + std::to_string(c.evicted) + " overdue=" + std::to_string(c.overdue) +
-           " too_many=" + std::to_string(c.too_many) + " opened=" + std::to_string(link_counters_.opened) +
-           " no_connection=" + std::to_string(link_counters_.refused) +
-           " broken=" + std::to_string(link_counters_.broken) +
-           " spoilt=" + std::to_string(link_counters_.spoilt) +
-           " unasked=" + std::to_string(link_counters_.unasked) + " bad_lists=" + std::to_string(bad_lists_);
+           " too_many=" + std::to_string(c.too_many) + " opened=" + std::to_string(pool_.opened) +
+           " no_connection=" + std::to_string(pool_.refused) + " broken=" + std::to_string(pool_.broken) +
+           " spoilt=" + std::to_string(pool_.spoilt) + " unasked=" + std::to_string(pool_.unasked) +
+           " bad_lists=" + std::to_string(bad_lists_);
 }
 
 void Node::drain(std::function<void()> done) {
@@ -344,11 +353,32 @@
 
 void Node::look_drained() {
     const Micros since = loop_.now() - draining_since_;
-    if (since > kSecondMicros && running_.empty()) {
+    if (since >= restart_.last_answers) end_all();
+    if (since >= restart_.stays && running_.empty()) {
         deps_.log("drained: " + status());
         return drained_();
     }
     drain_timer_ = loop_.after(kDrainLook, [this] { look_drained(); });
 }
 
+// What is left is told so while its client can still hear it, and may come again where that is harmless.
+void Node::end_all() {
+    std::vector<std::string> left;
+    for (const auto& [id, r] : running_)
+        if (!r->life.finished()) left.push_back(id);
+    for (const auto& id : left) {
+        Running& r = *running_.at(id);
+        if (decide::last_word(*r.cls, r.may_have_run || r.out()) == decide::LastWord::refused)
+            refuse(r, 0, "ending");
+        else finish(r, thrift::crashed(r.seq, {}), "failed");
+        driver_.post(Gone{id});  // the module calls off what is out
+    }
+}
+
+std::vector<std::pair<std::size_t, std::size_t>> Node::out_by_engine() const {
+    std::vector<std::pair<std::size_t, std::size_t>> out;
+    for (const auto& [id, e] : engines_) out.emplace_back(e.out, e.link ? e.link->open() : 0);
+    return out;
+}
+
 }  // namespace gatetiller::node
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -12,6 +12,7 @@
 #include "core/driver.hpp"
 #include "decide/client_request.hpp"
 #include "decide/life.hpp"
+#include "decide/planned_restart.hpp"
 #include "node/clients.hpp"
 #include "node/config.hpp"
 #include "node/engine_link.hpp"
@@ -38,6 +39,8 @@
     // `done` once nothing is left. A second call changes nothing.
     void drain(std::function<void()> done);
     std::size_t requests() const { return running_.size(); }
+    // By engine: attempts that the module counts as out, and those out on the sockets.
+    std::vector<std::pair<std::size_t, std::size_t>> out_by_engine() const;
     // One line: what the module reckons with and what the sockets hold, by engine.
     std::string status() const;
 
@@ -63,13 +66,14 @@
     void free_later(const std::string& id);
     void tick();
     void look_drained();
+    void end_all();
     Running* find(const std::string& id);
 
     net::Loop& loop_;
     NodeSettings settings_;
     NodeDeps deps_;
     decide::NodeBounds bounds_;
-    LinkCounters link_counters_;
+    LinkPool pool_;
     core::Driver driver_;
     Clients clients_;
     roster::DnsSource dns_;
@@ -81,6 +85,7 @@
     std::vector<std::string> to_free_;
     std::map<std::string, std::uint64_t> ended_;  // counts by how
     std::uint64_t bad_lists_ = 0;
+    decide::RestartTimes restart_;
     Micros draining_since_ = 0;
     std::function<void()> drained_;
     net::TimerId free_timer_ = 0, tick_timer_ = 0, drain_timer_ = 0;
--- /dev/null
+++ b/tests/decide/node_test.cpp
@@ -0,0 +1,226 @@
+// What a front node settles by itself: the list by number, groups of tables, what clients may send, what an
+// answer proves, bounds.
+#include <gtest/gtest.h>
+
+#include "decide/client_request.hpp"
+#include "decide/engine_list.hpp"
+#include "decide/exchange.hpp"
+#include "decide/node_bounds.hpp"
+#include "decide/table_group.hpp"
+
+namespace gatetiller::decide {
+namespace {
+
+ListedEngine engine(const std::string& name, const std::string& address,
+                    EngineState state = EngineState::on) {
+    ListedEngine e;
+    e.name = name, e.address = address, e.state = state;
+    return e;
+}
+
+TEST(EngineList, OnlyNewerListsCountAndWhatTheyLackIsGone) {
+    EngineList list;
+    const auto first = list.take(3, {engine("a", "h:1"), engine("b", "h:2")}, 0, 0);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->form, ListForm::warm_copy);
+    EXPECT_EQ(first->engines.size(), 2u);
+    EXPECT_FALSE(list.take(3, {}, 0, 0));  // the same number
+    EXPECT_FALSE(list.take(2, {}, 0, 0));  // an older list
+    const auto second = list.take(4, {engine("b", "h:2", EngineState::fading)}, 0, 0);
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->form, ListForm::incr);
+    ASSERT_EQ(second->engines.size(), 2u);
+    EXPECT_EQ(second->engines[0].state, EngineState::fading);
+    EXPECT_EQ(second->engines[1].state, EngineState::off);
+    EXPECT_EQ(second->engines[1].id, first->engines[0].id);
+    EXPECT_FALSE(list.take(5, {engine("b", "h:2", EngineState::fading)}, 0, 0));  // nothing changed
+    EXPECT_EQ(list.number(), 5u);
+}
+
+TEST(EngineList, ANewEngineAtAnOldAddressIsAnotherOne) {
+    EngineList list;
+    const auto first = list.take(1, {engine("a", "h:1")}, 0, 0);
+    const auto second = list.take(2, {engine("b", "h:1")}, 0, 0);
+    ASSERT_TRUE(second);
+    ASSERT_EQ(second->engines.size(), 2u);
+    EXPECT_NE(second->engines[0].id, first->engines[0].id);
+    EXPECT_EQ(second->engines[0].state, EngineState::on);
+}
+
+TEST(EngineList, AStartIsPutOnTheLoopsClockOnce) {
+    EngineList list;
+    auto young = engine("a", "h:1");
+    young.started = 100 * kSecondMicros;
+    auto change = list.take(1, {young}, 50 * kSecondMicros, 104 * kSecondMicros);
+    EXPECT_EQ(change->engines[0].came_up, 46 * kSecondMicros);
+    young.state = EngineState::fading;  // the wall clock has been set back meanwhile
+    change = list.take(2, {young}, 51 * kSecondMicros, 90 * kSecondMicros);
+    EXPECT_EQ(change->engines[0].came_up, 46 * kSecondMicros);
+    young.started = 0;
+    EXPECT_EQ(list.take(3, {young}, 52 * kSecondMicros, 0)->engines[0].came_up, 0);
+}
+
+TEST(TableGroup, IsTheNumberOfTheSchema) {
+    const std::pair<const char*, int> cases[] = {
+        {"SELECT * FROM sales_17.orders", 17},
+        {"select a from meters_4.day d join sales_17.orders o on d.id = o.id", 4},
+        {"INSERT INTO sales_9.orders SELECT * FROM staging.orders", 9},
+        {"SELECT 'from x_3.y', a FROM /* x_4.z */ sales_5.t -- x_6.z", 5},
+        {"SELECT 'it''s from x_3.y' FROM \"sales_8\".\"t\"", 8},
+        {"SELECT t_2.c FROM sales_5.t AS t_2", 5},
+        {"SELECT * FROM hive.sales_12.orders", 12},
+        {"SELECT 1.5, 2 FROM plain.t", 0},
+        {"UPDATE archive_03.t SET a = 1", 3},
+        {"SELECT 1", 0},
+        {"", 0},
+        {"SELECT 'never ended FROM sales_5.t", 0},
+        {"/* never ended FROM sales_5.t", 0},
+        {"SELECT * FROM a_99999999999999999999.t", 0},
+    };
+    for (const auto& [sql, group] : cases) EXPECT_EQ(table_group(sql), group) << sql;
+}
+
+Settings settings() {
+    Settings s;
+    ClassSettings lookup, load;
+    lookup.name = "lookup", lookup.deadline = 4 * kSecondMicros, lookup.effect = Effect::repeatable;
+    load.name = "load", load.deadline = 9 * kSecondMicros, load.effect = Effect::by_key;
+    s.classes = {lookup, load};
+    s.tenants = {{"acme", 1, 1}};
+    return s;
+}
+
+TEST(ClientRequest, OnlyWhatIsWholeAndInRangeGetsBeforeTheModule) {
+    const Settings s = settings();
+    const std::map<std::string, std::string> good{{"route", "lookup"},  {"trace", "9b1f03aa5c7e2d41"},
+                                                  {"customer", "acme"}, {"patience", "1500"},
+                                                  {"weight", "820.5"},  {"heap_mb", "96"}};
+    const auto with = [&](std::map<std::string, std::string> changes, std::string body = "SELECT 1") {
+        auto fields = good;
+        for (auto& [name, value] : changes) fields[name] = value;
+        return check_request(fields, body, s);
+    };
+    const auto fine = with({});
+    ASSERT_TRUE(fine) << fine.error();
+    EXPECT_EQ(fine->cls->name, "lookup");
+    EXPECT_EQ(fine->patience, 1500 * kMillisecond);
+    EXPECT_EQ(fine->cost, 820'500);
+    EXPECT_EQ(fine->memory_mb, 96);
+    EXPECT_TRUE(with({{"route", "load"}, {"nonce", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"}}));
+    EXPECT_TRUE(with({}, "SELECT 'h\xc3\xa9'"));
+    const std::pair<const char*, const char*> wrong[] = {{"trace", ""},
+                                                         {"trace", "9b1f03aa5c7e2d4"},
+                                                         {"trace", "9b1f03aa5c7e2d4x"},
+                                                         {"route", "nosuch"},
+                                                         {"route", ""},
+                                                         {"customer", ""},
+                                                         {"customer", "nobody"},
+                                                         {"patience", ""},
+                                                         {"patience", "0"},
+                                                         {"patience", "-5"},
+                                                         {"patience", "1e3"},
+                                                         {"patience", "99999999"},
+                                                         {"patience", "99999999999999999999"},
+                                                         {"weight", "nan"},
+                                                         {"weight", "inf"},
+                                                         {"weight", "-1"},
+                                                         {"weight", "much"},
+                                                         {"weight", "1e300"},
+                                                         {"heap_mb", "-1"},
+                                                         {"heap_mb", "x"},
+                                                         {"nonce", "short"},
+                                                         {"route", "load"}};
+    for (const auto& [name, value] : wrong) {
+        const auto r = with({{name, value}});
+        ASSERT_FALSE(r) << name << "=" << value;
+        EXPECT_NE(
+            r.error().find(std::string(name) == "route" && std::string(value) == "load" ? "nonce" : name),
+            std::string::npos)
+            << r.error();
+    }
+    for (const std::string& body : {std::string(), std::string(kStatementMost + 1, 'x'),
+                                    std::string("a\0b", 3), std::string("\xff\xfe"), std::string("\xc0\x80"),
+                                    std::string("\xed\xa0\x80"), std::string("\xe2\x82")})
+        EXPECT_FALSE(with({}, body));
+}
+
+TEST(ResultPages, AreWholeOnceEachPageIsThereOnce) {
+    ResultPages pages;
+    ASSERT_TRUE(pages.begin(3, "a\tb\tc\n"));
+    EXPECT_FALSE(pages.whole());
+    EXPECT_EQ(pages.take(2, "3\t\t\n"), ResultPages::Took::page);
+    EXPECT_EQ(pages.take(2, "3\t\t\n"), ResultPages::Took::not_asked);
+    EXPECT_EQ(pages.take(3, "x\ty\tz\n"), ResultPages::Took::not_asked);
+    EXPECT_EQ(pages.take(1, "2\t\t\n"), ResultPages::Took::page);
+    ASSERT_TRUE(pages.whole());
+    EXPECT_EQ(pages.rows(), "a\tb\tc\n2\t\t\n3\t\t\n");
+}
+
+TEST(ResultPages, AreSpoiltByWhatNoEngineWouldSend) {
+    for (const std::string& page :
+         {std::string("a\tb\n"), std::string("a\tb\tc\td\n"), std::string("a\tb\tc"),
+          std::string("a\tb\t\x01\n"), std::string("a\tb\t\xff\n"),
+          std::string(ResultPages::kPageMost, 'x') + "\t\t\n"})
+        EXPECT_FALSE(ResultPages().begin(1, page)) << page.substr(0, 20);
+    EXPECT_FALSE(ResultPages().begin(0, ""));
+    EXPECT_FALSE(ResultPages().begin(3'000'000'000, ""));
+    EXPECT_TRUE(ResultPages().begin(1, ""));
+    ResultPages large;
+    const std::string page = std::string(5000, 'x') + "\t\t\n";
+    ASSERT_TRUE(large.begin(20, page));
+    for (std::size_t n = 1; n < 9; ++n) EXPECT_EQ(large.take(n, page), ResultPages::Took::page) << n;
+    EXPECT_EQ(large.take(9, page), ResultPages::Took::spoilt);  // more than a result holds
+}
+
+TEST(Exchange, OnlyWhatProvesItCountsAsNeverRun) {
+    using How = ExchangeEnd::How;
+    EXPECT_EQ(outcome_of(How::served), Outcome::done);
+    EXPECT_EQ(outcome_of(How::shed), Outcome::busy);
+    EXPECT_EQ(outcome_of(How::late), Outcome::skipped);
+    EXPECT_EQ(outcome_of(How::refused), Outcome::econnrefused);
+    EXPECT_EQ(outcome_of(How::fault), Outcome::err);
+    EXPECT_EQ(outcome_of(How::lost), Outcome::econnreset);
+}
+
+TEST(NodeBounds, StayWithinTheMachine) {
+    for (const std::int64_t sockets : {16, 64, 256, 384, 1024, 4096}) {
+        const auto b = bounds_of(sockets, 32);
+        EXPECT_LT(b.clients + b.engines, static_cast<std::size_t>(sockets)) << sockets;
+        EXPECT_GE(b.clients, static_cast<std::size_t>(sockets) / 4) << sockets;
+        EXPECT_GT(b.engines, 0u);
+    }
+    EXPECT_LE(bounds_of(256, 32).statement_bytes, 32u << 18);
+}
+
+TEST(Doors, WhoNeverAsksOrStopsHalfwayIsClosedInTime) {
+    DoorTimes t;
+    ClientFacts c;
+    c.connected = 1;
+    EXPECT_FALSE(overdue(c, t.first_request, t));
+    EXPECT_TRUE(overdue(c, t.first_request + 1, t));
+    c.served = true;
+    EXPECT_FALSE(overdue(c, 3600 * kSecondMicros, t));  // one that has served is left alone
+    c.half_since = 10;
+    EXPECT_TRUE(overdue(c, 10 + t.half_request, t));
+    c.half_since = 0, c.closing = true, c.closing_since = 5;
+    EXPECT_FALSE(overdue(c, 6, t));
+    EXPECT_TRUE(overdue(c, 5 + t.last_words, t));
+}
+
+TEST(Doors, RoomIsMadeByWhoNeedsItsConnectionLeast) {
+    std::vector<ClientFacts> all(4);
+    all[0] = {.connected = 1, .last_active = 90, .open = 1, .served = true};  // at work
+    all[1] = {.connected = 2, .last_active = 50, .served = true};
+    all[2] = {.connected = 3, .last_active = 40, .served = true};  // idle for longest
+    all[3] = {.connected = 99, .last_active = 99};                 // never asked
+    EXPECT_EQ(makes_room(all), 3u);
+    all[3].open = 1;
+    EXPECT_EQ(makes_room(all), 2u);
+    all[1].closing = true;
+    EXPECT_EQ(makes_room(all), 1u);
+    for (auto& c : all) c.open = 1;
+    EXPECT_FALSE(makes_room(all));
+}
+
+}  // namespace
+}  // namespace gatetiller::decide
--- /dev/null
+++ b/tests/node/config_test.cpp
@@ -0,0 +1,70 @@
+// The platform's configuration file: read as it is meant, refused by the name of what is wrong.
+#include "node/config.hpp"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace gatetiller::node {
+namespace {
+
+nlohmann::json good() {
+    return nlohmann::json::parse(R"({"name":"n3","listen":"127.0.0.4:5050","seed":"8c1f30d27a5be964",
+        "limits":{"cores":0.5,"memory_mb":32,"sockets":256},"dns":"127.2.0.1:1053",
+        "known":{"offset":3,"batch":[
+          {"offset":1,"topology":{"generation":1,"reset":true,"instances":[
+            {"instanceId":"s-1","hostPort":"127.1.0.1:5050","zone":"z","machineType":"std","cell":2,"lifecycle":"active","weight":4,"startedAtMs":0},
+            {"instanceId":"s-2","hostPort":"127.1.0.2:5050","zone":"z","machineType":"std","cell":2,"lifecycle":"active","weight":4,"startedAtMs":7}]}},
+          {"offset":3,"topology":{"generation":2,"reset":false,"instances":[
+            {"instanceId":"s-2","hostPort":"127.1.0.2:5050","lifecycle":"left"},
+            {"instanceId":"s-1","hostPort":"127.1.0.1:5050","zone":"z","machineType":"std","lifecycle":"leaving"}]}}]},
+        "settings":{"classes":[{"name":"q","aim_us":1000000,"deadline_us":4000000,"effect":"repeatable"}],
+          "policy_limits":{"idle_close_us":30000000,"streams_per_conn":100}}})");
+}
+
+TEST(NodeConfig, TheEventsOfTheStartComeToOneList) {
+    const auto s = read_config(good().dump());
+    ASSERT_TRUE(s) << s.error();
+    EXPECT_EQ(s->seed, 0x8c1f30d27a5be964u);
+    EXPECT_EQ(s->known_number, 3u);
+    ASSERT_EQ(s->known.size(), 1u);
+    EXPECT_EQ(s->known[0].name, "s-1");
+    EXPECT_EQ(s->known[0].state, EngineState::fading);
+    EXPECT_EQ(s->dns.text(), "127.2.0.1:1053");
+    EXPECT_EQ(s->idle_close, 30 * kSecondMicros);
+    EXPECT_EQ(s->module.classes.size(), 1u);
+}
+
+TEST(NodeConfig, WhatIsWrongIsNamed) {
+    const auto error = [](const char* pointer, const nlohmann::json& value) {
+        auto json = good();
+        json[nlohmann::json::json_pointer(pointer)] = value;
+        const auto s = read_config(json.dump());
+        return s ? std::string("fine") : s.error();
+    };
+    const std::pair<const char*, nlohmann::json> wrong[] = {
+        {"/listen", "nowhere"},
+        {"/listen", 5},
+        {"/dns", "a.b:1"},
+        {"/seed", "xyz"},
+        {"/limits/sockets", 0},
+        {"/limits/memory_mb", "much"},
+        {"/limits/cores", -1},
+        {"/known/offset", nullptr},
+        {"/known/batch/0/topology/instances/0/lifecycle", "ill"},
+        {"/settings/classes", nlohmann::json::array()},
+        {"/settings/classes/0/effect", "maybe"}};
+    for (const auto& [pointer, value] : wrong) {
+        const std::string name = std::string(pointer).substr(std::string(pointer).rfind('/') + 1);
+        EXPECT_NE(error(pointer, value).find(name), std::string::npos)
+            << pointer << ": " << error(pointer, value);
+    }
+    auto lacking = good();
+    lacking.erase("dns");
+    EXPECT_NE(read_config(lacking.dump()).error().find("dns is missing"), std::string::npos);
+    EXPECT_FALSE(read_config("{"));
+    EXPECT_FALSE(load_config("/nowhere/config.json"));
+}
+
+}  // namespace
+}  // namespace gatetiller::node
--- /dev/null
+++ b/tests/node/node_test.cpp
@@ -0,0 +1,284 @@
+// The hard cases of a front node, in virtual time among stand-ins.
+#include "rig.hpp"
+
+namespace gatetiller::testing {
+namespace {
+
+using Fields = thrift::Fields;
+
+bool told(const lab::PlatformEngine& e, const std::string& command) {
+    return std::find(e.commands.begin(), e.commands.end(), command) != e.commands.end();
+}
+std::size_t count_with(const lab::Records& r, const std::string& event) {
+    return static_cast<std::size_t>(std::count_if(r.engines.begin(), r.engines.end(),
+                                                  [&](const auto& e) { return e.entry.event == event; }));
+}
+
+TEST_F(NodeRig, ServesWholeResultsPageByPage) {
+    engine("s-1"), engine("s-2");
+    start();
+    auto& c = client();
+    std::map<std::int32_t, std::size_t> rows;
+    for (const std::size_t n : {0u, 1u, 60u, 900u}) rows[c.ask(ask("lookup", 5, n))] = n;
+    ASSERT_TRUE(until([&] { return c.open() == 0; }));
+    for (const auto& [seq, n] : rows) EXPECT_EQ(c.got().at(seq).how, "served") << n << " rows";
+    expect_rules_kept();
+}
+
+TEST_F(NodeRig, AClientThatGivesUpIsOwedNothingAndItsEngineStops) {
+    auto& e = engine("s-1");
+    start();
+    auto& c = client();
+    const auto a = ask("lookup", 3000);
+    const auto seq = c.ask(a);
+    ASSERT_TRUE(until([&] { return e.open() == 1; }));
+    c.give_up(seq);
+    ASSERT_TRUE(until([&] { return e.open() == 0; }));
+    ASSERT_TRUE(until([&] { return node->requests() == 0; }));
+    EXPECT_TRUE(told(e, "undo " + a.trace));
+    EXPECT_FALSE(c.got().contains(seq));
+    expect_rules_kept();
+}
+
+// Found by reading: a late answer of a first attempt must not count for a second one under the same id.
+TEST_F(NodeRig, ASecondAttemptAtTheSameEngineGoesOverAnotherConnection) {
+    auto& e = engine("s-1");
+    e.set({.fault = 1});
+    start();
+    auto& c = client();
+    const auto seq = c.ask(ask());
+    ASSERT_TRUE(until([&] { return count_with(records, "fault") >= 2; }));
+    e.set({});
+    ASSERT_TRUE(until([&] { return c.open() == 0; }));
+    EXPECT_EQ(c.got().at(seq).how, "served");
+    EXPECT_GE(count_with(records, "arrived"), 3u);
+    expect_rules_kept();
+}
+
+TEST_F(NodeRig, WhatIsSpoiltCostsItsConnectionAndNoOther) {
+    auto& one = engine("s-1");
+    auto& two = engine("s-2");
+    start();
+    auto& c = client();
+    for (auto* e : {&one, &two}) e->set({.spoilt = 0.3, .doubled = 0.3});
+    std::vector<std::int32_t> asked;
+    for (int i = 0; i < 200; ++i) {
+        asked.push_back(c.ask(ask(i % 5 == 0 ? "load" : "lookup", 10, static_cast<std::size_t>(i))));
+        pass(40 * kMillisecond);
+    }
+    ASSERT_TRUE(until([&] { return c.open() == 0; }));
+    int served = 0;
+    for (const auto seq : asked) served += c.got().contains(seq) && c.got().at(seq).how == "served";
+    EXPECT_GT(served, 150);
+    expect_rules_kept();
+}
+
+TEST_F(NodeRig, ARefusalNeverHidesAnAttemptThatMayHaveRun) {
+    settings.module.classes[1].effect = Effect::once;
+    for (int i = 1; i <= 3; ++i)
+        engine("s-" + std::to_string(i))
+            .set({.shed = 0.2, .fault = 0.2, .spoilt = 0.1, .reset = 0.2, .silent = 0.1});
+    start();
+    auto& c = client();
+    for (int i = 0; i < 150; ++i) {
+        c.ask(ask("load", 10));
+        pass(100 * kMillisecond);
+    }
+    ASSERT_TRUE(until([&] { return c.open() == 0; }));
+    EXPECT_GT(count_with(records, "shed"), 10u);
+    expect_rules_kept();
+}
+
+TEST_F(NodeRig, NothingGoesToAnEngineThatDrainsAndANewOneTakesItsAddress) {
+    auto& old = engine("s-1", "127.1.0.1:5050");
+    auto& other = engine("s-2", "127.1.0.2:5050");
+    (void)other;
+    start();
+    auto& c = client();
+    int asked = 0;
+    const auto load = [&](Micros span) {
+        for (const Micros end = loop.now() + span; loop.now() < end; ++asked) {
+            c.ask(ask("lookup", 10));
+            pass(50 * kMillisecond);
+        }
+    };
+    load(kSecondMicros);
+    names.put({"s-1", "z", "std", {{"n0", *net::Address::parse("127.1.0.1:5050")}}, true});
+    load(3 * kSecondMicros);
+    const auto before = records.engines.size();
+    names.remove("s-1");
+    old.die();
+    auto& fresh = engine("s-3", "127.1.0.1:5050");
+    load(3 * kSecondMicros);
+    EXPECT_GT(
+        std::count_if(records.engines.begin() + static_cast<std::ptrdiff_t>(before), records.engines.end(),
+                      [](const auto& r) { return r.engine == "s-3" && r.entry.event == "hit"; }),
+        3);
+    (void)fresh;
+    ASSERT_TRUE(until([&] { return c.open() == 0; }));
+    const auto j = judged();
+    EXPECT_GT(j.drains, 0u);
+    expect_rules_kept();
+}
+
+TEST_F(NodeRig, ANameServiceThatFailsInEveryWayStillTellsOfDrains) {
+    engine("s-1"), engine("s-2");
+    start();
+    names.set({.lost = 0.3, .failure = 0.1, .cut = 0.1, .foreign = 0.1, .old = 0.1});
+    auto& c = client();
+    for (int i = 0; i < 100; ++i) {
+        if (i == 20 || i == 60)
+            names.put({"s-1", "z", "std", {{"n0", *net::Address::parse("127.1.0.1:5050")}}, i == 20});
+        c.ask(ask());
+        pass(100 * kMillisecond);
+        if (i == 35) { EXPECT_NE(node->status().find("list=3"), std::string::npos) << node->status(); }
+    }
+    ASSERT_TRUE(until([&] { return c.open() == 0; }));
+    EXPECT_NE(node->status().find("list=4"), std::string::npos) << node->status();
+    expect_rules_kept();
+}
+
+TEST_F(NodeRig, AReloadMovesToAnotherNameService) {
+    engine("s-1"), engine("s-2");
+    start();
+    names.close("n0");
+    names.put({"s-1", "z", "std", {{"n0", *net::Address::parse("127.1.0.1:5050")}}, true});
+    auto moved = settings;
+    moved.dns = *names.listen("n0", *net::Address::parse("127.2.0.2:1053"));
+    node->reload(moved);
+    ASSERT_TRUE(until([&] { return node->status().find("list=3") != std::string::npos; }, 2 * kSecondMicros));
+}
+
+// Each line of the platform's list of bad clients; none may be served, none may reach an engine, all end
+// soon.
+TEST_F(NodeRig, BadClientsAreToldOrClosedAndReachNoEngine) {
+    engine("s-1");
+    start();
+    auto whole = ask();
+    const auto frame = [](const Fields& fields, const std::string& body, std::int32_t seq) {
+        thrift::Writer w(thrift::MessageType::call, "process", seq);
+        w.field(thrift::Type::map, 1), w.fields(fields);
+        w.field(thrift::Type::string, 2), w.string(body), w.stop();
+        return w.frame();
+    };
+    const Fields good{
+        {"route", "lookup"}, {"trace", "9b1f03aa5c7e2d41"}, {"customer", "acme"}, {"patience", "1500"}};
+    const auto but = [&](const std::string& name, const std::string& value) {
+        Fields f = good;
+        if (value.empty()) f.erase(name);
+        else f[name] = value;
+        return f;
+    };
+    std::vector<std::string> bad{"GET / HTTP/1.1\r\n\r\n",
+                                 std::string(100, '\xff'),
+                                 std::string("\x7f\xff\xff\xff", 4) + std::string(200'000, 'x'),
+                                 std::string("\0\0\0\x04\0\0\0\0", 8),
+                                 frame(but("route", "nosuch"), "x", 1),
+                                 frame(but("customer", "nobody"), "x", 1),
+                                 frame(but("trace", ""), "x", 1),
+                                 frame(but("patience", "-1"), "x", 1),
+                                 frame(but("weight", "nan"), "x", 1),
+                                 frame(good, "", 1),
+                                 frame(good, std::string(40'000, 'x'), 1),
+                                 frame(good, "SELECT 1", 3).substr(0, 60),
+                                 ""};
+    for (const auto& bytes : bad) {
+        auto& c = client();
+        if (!bytes.empty()) c.raw(bytes);
+        EXPECT_TRUE(until([&] { return c.ended() || c.exceptions() > 0; }, 3 * kSecondMicros))
+            << bytes.substr(0, 60);
+    }
+    EXPECT_EQ(count_with(records, "arrived"), 0u);
+    // Two requests under one number: nobody could tell whose an answer is.
+    auto& twice = client();
+    twice.raw(frame(good, "SELECT 1 /* gt: work_ms=3000 */", 1) +
+              frame(but("trace", "9b1f03aa5c7e2d42"), "SELECT 2", 1));
+    EXPECT_TRUE(until([&] { return twice.ended(); }, 3 * kSecondMicros));
+    // More at once than the protocol allows.
+    auto& many = client();
+    std::string all;
+    for (int i = 1; i <= 300; ++i) {
+        char id[17];
+        std::snprintf(id, sizeof id, "%016x", i);
+        all += frame(but("trace", id), "SELECT 1 /* gt: work_ms=3000 */", i);
+    }
+    many.raw(all);
+    EXPECT_TRUE(until([&] { return many.ended(); }, 3 * kSecondMicros));
+    ASSERT_TRUE(until([&] { return node->requests() == 0; }));
+    // Hundreds that say nothing take no room from those that ask.
+    for (int i = 0; i < 400; ++i) client();
+    pass(5 * kMillisecond);
+    auto& usual = client();
+    const auto seq = usual.ask(whole);
+    ASSERT_TRUE(until([&] { return usual.open() == 0; }));
+    EXPECT_EQ(usual.got().at(seq).how, "served");
+    for (const auto& e : engines) EXPECT_TRUE(e->unusable().empty()) << e->unusable()[0];
+}
+
+TEST_F(NodeRig, TheModulesPictureIsTheSocketsPicture) {
+    for (int i = 1; i <= 3; ++i)
+        engine("s-" + std::to_string(i))
+            .set({.shed = 0.05,
+                  .fault = 0.05,
+                  .spoilt = 0.05,
+                  .reset = 0.05,
+                  .silent = 0.02,
+                  .doubled = 0.1,
+                  .lost_page = 0.05});
+    start();
+    auto& c = client();
+    for (int round = 0; round < 10; ++round) {
+        for (int i = 0; i < 30; ++i) {
+            c.ask(ask(i % 6 == 0 ? "load" : "lookup", 30, static_cast<std::size_t>(i * 10)));
+            pass(30 * kMillisecond);
+        }
+        // At rest both sides must come to nothing; while busy, the module's count is the sockets'.
+        for (const auto& [module, sockets] : node->out_by_engine()) EXPECT_EQ(module, sockets);
+    }
+    ASSERT_TRUE(until([&] { return c.open() == 0 && node->requests() == 0; }));
+    for (const auto& [module, sockets] : node->out_by_engine())
+        EXPECT_EQ(std::pair(module, sockets), std::pair(std::size_t{0}, std::size_t{0}));
+    ASSERT_TRUE(until([&] {
+        return std::all_of(engines.begin(), engines.end(), [](const auto& e) { return e->open() == 0; });
+    }));
+    expect_rules_kept();
+}
+
+TEST_F(NodeRig, APlannedRestartServesWhileClientsComeAndAnswersAllItTook) {
+    engine("s-1"), engine("s-2");
+    start();
+    auto& c = client();
+    const auto quick = c.ask(ask("lookup", 50)), slow = c.ask(ask("load", 8'000));
+    pass(10 * kMillisecond);
+    bool over = false;
+    node->drain([&] { over = true; });
+    pass(300 * kMillisecond);
+    auto& late = client();
+    const auto still = late.ask(ask("lookup", 50));
+    pass(500 * kMillisecond);
+    const auto refused = late.ask(ask("lookup", 50));
+    ASSERT_TRUE(until([&] { return over; }, 3'600 * kMillisecond));
+    EXPECT_EQ(c.got().at(quick).how, "served");
+    EXPECT_EQ(late.got().at(still).how, "served");
+    EXPECT_EQ(late.got().at(refused).how, "refused");
+    EXPECT_EQ(c.got().at(slow).how,
+              "refused");  // by key, and every engine knows it: its client may come again
+    expect_rules_kept();
+}
+
+TEST_F(NodeRig, WhatMayHaveRunOnceIsNotRefusedAtARestart) {
+    settings.module.classes[1].effect = Effect::once;
+    auto& e = engine("s-1");
+    start();
+    auto& c = client();
+    const auto out = c.ask(ask("load", 8'000));
+    ASSERT_TRUE(until([&] { return e.open() == 1; }));
+    bool over = false;
+    node->drain([&] { over = true; });
+    ASSERT_TRUE(until([&] { return over; }, 4 * kSecondMicros));
+    EXPECT_EQ(c.got().at(out).how, "failed");
+    expect_rules_kept();
+}
+
+}  // namespace
+}  // namespace gatetiller::testing
--- /dev/null
+++ b/tests/node/rig.hpp
@@ -0,0 +1,138 @@
+// A front node in virtual time among the platform's stand-ins; every test ends with the rules judged from
+// what passed on the sockets.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include "lab/checker.hpp"
+#include "lab/platform.hpp"
+#include "node/node.hpp"
+#include "sim/virtual_loop.hpp"
+
+namespace gatetiller::testing {
+
+class NodeRig : public ::testing::Test {
+protected:
+    static constexpr Micros kLimit = 60 * kSecondMicros;
+
+    NodeRig() {
+        settings.name = "n0";
+        settings.listen = *net::Address::parse("127.0.0.4:5050");
+        settings.sockets = 256, settings.memory_mb = 32, settings.cores = 0.5;
+        settings.idle_close = 30 * kSecondMicros, settings.streams = 100;
+        settings.connect_time_out = 250 * kMillisecond;
+        Settings& m = settings.module;
+        ClassSettings lookup, load;
+        lookup.name = "lookup", lookup.effect = Effect::repeatable, lookup.aim = kSecondMicros,
+        lookup.deadline = 4 * kSecondMicros, lookup.late_share = 0.5;
+        load.name = "load", load.effect = Effect::by_key, load.key_scope = Scope::all,
+        load.window = 25 * kSecondMicros, load.aim = 3 * kSecondMicros, load.deadline = 9 * kSecondMicros,
+        load.late_share = 0.5;
+        m.classes = {lookup, load};
+        m.tenants = {{"acme", 0, 1}};
+        m.kinds = {{"std", 8, 16'384}};
+        m.zone = "z";
+        m.priorities = m.grants = m.cost_in_answers = m.may_cancel = m.retry_hints = true;
+        m.reports = ReportSource::answers;
+        m.note_period = 100 * kMillisecond;
+        m.max_retry_after = 2 * kSecondMicros;
+        m.attempts_cap = 6;
+        m.grace_to_answer = 20 * kMillisecond, m.drain_grace = 2 * kSecondMicros;
+        m.cold_share = 0.3, m.warm_up = 10 * kSecondMicros, m.overload_factor = 3,
+        m.overload_for = 1'500 * kMillisecond;
+    }
+    ~NodeRig() override {
+        node.reset();
+        clients.clear();
+    }
+
+    lab::PlatformEngine& engine(const std::string& name, const std::string& address = "") {
+        lab::PlatformEngineSettings s;
+        s.name = name, s.seed = ++seed;
+        auto e = std::make_unique<lab::PlatformEngine>(loop, s, records);
+        const auto at = net::Address::parse(
+            address.empty() ? "127.1.0." + std::to_string(engines.size() + 1) + ":5050" : address);
+        EXPECT_TRUE(e->listen("n0", *at));
+        names.put({name, "z", "std", {{"n0", *at}}});
+        lab::EngineFacts facts;
+        facts.name = facts.address = name, facts.zone = "z", facts.kind = "std";
+        records.facts.engines.push_back(facts);
+        engines.push_back(std::move(e));
+        return *engines.back();
+    }
+    void start() {
+        const auto dns = names.listen("n0", *net::Address::parse("127.2.0.1:1053"));
+        ASSERT_TRUE(dns);
+        settings.dns = *dns;
+        auto known = known_list();
+        settings.known_number = names.number(), settings.known = known;
+        node =
+            std::make_unique<node::Node>(loop, settings, node::NodeDeps{[](const std::string&) {}, nullptr});
+        ASSERT_TRUE(node->start());
+        ready();
+    }
+    // The list of the start, as a configuration would hold it.
+    std::vector<decide::ListedEngine> known_list() const {
+        std::vector<decide::ListedEngine> list;
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            decide::ListedEngine e;
+            e.name = engines[i]->name(), e.address = "127.1.0." + std::to_string(i + 1) + ":5050",
+            e.zone = "z", e.kind = "std";
+            list.push_back(std::move(e));
+        }
+        return list;
+    }
+    lab::PlatformClient& client() {
+        clients.push_back(std::make_unique<lab::PlatformClient>(loop, "n0", settings.listen, records));
+        return *clients.back();
+    }
+    void ready() {
+        auto& c = client();
+        c.probe();
+        ASSERT_TRUE(until([&] { return c.ready(); }));
+    }
+    lab::PlatformClient::Ask ask(const std::string& cls = "lookup", int work_ms = 20, std::size_t rows = 3) {
+        lab::PlatformClient::Ask a;
+        a.cls = cls, a.tenant = "acme", a.rows = rows;
+        a.trace = random.hex(16);
+        a.sql = "SELECT a, b, c FROM sales_3.t /* gt: work_ms=" + std::to_string(work_ms) +
+                " rows=" + std::to_string(rows) + " */ -- " + a.trace;
+        a.aim = kSecondMicros, a.patience = cls == "load" ? 9 * kSecondMicros : 4 * kSecondMicros;
+        if (cls == "load") a.nonce = random.hex(32);
+        return a;
+    }
+    template <typename C>
+    bool until(C condition, Micros longest = kLimit) {
+        return loop.run(condition, longest);
+    }
+    void pass(Micros span) {
+        const Micros end = loop.now() + span;
+        loop.after(span, [] {});
+        loop.run([&] { return loop.now() >= end; }, span + 1);
+    }
+    lab::Judgement judged() {
+        records.facts.classes = settings.module.classes;
+        records.facts.answer_grace = settings.module.grace_to_answer;
+        records.facts.drain_grace = settings.module.drain_grace + 50 * kMillisecond;
+        records.sort();
+        return lab::judge(records);
+    }
+    void expect_rules_kept() {
+        const auto j = judged();
+        for (const auto& v : j.violations)
+            ADD_FAILURE() << "rule " << v.rule << ": " << v.what << "\n" << v.story;
+        for (const auto& e : engines) EXPECT_TRUE(e->unusable().empty()) << e->unusable()[0];
+    }
+
+    sim::VirtualLoop loop{{.seed = 1}};
+    Random random{7};
+    std::uint64_t seed = 0;
+    lab::Records records;
+    lab::NameService names{loop, records, 3};
+    node::NodeSettings settings;
+    std::vector<std::unique_ptr<lab::PlatformEngine>> engines;
+    std::vector<std::unique_ptr<lab::PlatformClient>> clients;
+    std::unique_ptr<node::Node> node;
+};
+
+}  // namespace gatetiller::testing
