An engine that turns away one class without a crowd rests for that class alone

The log with a line for each attempt: all 201 `SHED` answers were to reports, from two of five engines, each after 81 ms whatever their load; look-ups and loads were never shed. The status line at 10 s shows 0 or 1 attempt out at these two, on the sockets as by the module's count, while the other three were crowded: the node took both for full and let them rest whole for a second each time. Checked and ruled out: resets and spoilt answers (spread evenly, few), the list (the replaced engine is another one), descriptors, the bench's lateness (0.15 ms), the sockets' picture (both counts agree). At fault: `judge` in brain.cpp, where `busy` set `full_until` of the engine without asking whether it is crowded.

Change: where the engine's own young report tells of no crowd, only the class rests there (`rest`, `turns_away`).

The new test fails on the old code.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,6 +17,8 @@
 constexpr Micros kAnswerReserve = 5 * kMillisecond;  // for an answer's way to its client
 constexpr Micros kTick = kSecondMicros;
 constexpr int kStatusTicks = 5;
+constexpr const char* kOutcomes[] = {"done",         "err",        "busy",      "etimedout",
+                                     "econnrefused", "econnreset", "ecanceled", "skipped"};
 constexpr Micros kDrainLook = 20 * kMillisecond;
 
 }  // namespace
@@ -176,13 +178,20 @@
     if (r->life.freeable()) free_later(r->id);
 }
 
+std::string Node::name_of(EngineId id) const {
+    const auto found = engines_.find(id);
+    return found == engines_.end() ? "-" : found->second.name;
+}
+
 // The client's one final answer.
 void Node::finish(Running& r, std::string frame, const char* how) {
     if (!r.life.take(Happening::answer)) return;
     r.life.take(Happening::final_given);
     ++ended_[how];
     if (deps_.trace)
-        deps_.trace(r.id + " " + r.cls->name + " " + how + " attempts=" + std::to_string(r.attempts.size()) +
+        deps_.trace(r.id + " " + r.cls->name + " " + how + " at " +
+                    (r.attempts.empty() ? "-" : name_of(r.attempts.back()->engine)) +
+                    " attempts=" + std::to_string(r.attempts.size()) +
                     " ms=" + std::to_string((loop_.now() - r.arrived) / kMillisecond) +
                     " left_ms=" + std::to_string((r.deadline - loop_.now()) / kMillisecond));
     asked_.erase({r.client, r.seq});
@@ -286,13 +295,9 @@
             c.work_ms = end->work_ms, c.needed_mb = end->needed_mb;
     }
     if (deps_.trace && outcome != Outcome::done) {
-        static constexpr const char* kNames[] = {"done",         "err",        "busy",      "etimedout",
-                                                 "econnrefused", "econnreset", "ecanceled", "skipped"};
-        const auto found = engines_.find(a.engine);
         deps_.trace(r.id + " " + r.cls->name + " attempt " + std::to_string(a.number) + " at " +
-                    (found == engines_.end() ? "?" : found->second.name) + " " +
-                    kNames[static_cast<int>(outcome)] + " ms=" + std::to_string(c.taken / kMillisecond) +
-                    (end ? " " + end->why : ""));
+                    name_of(a.engine) + " " + kOutcomes[static_cast<int>(outcome)] +
+                    " ms=" + std::to_string(c.taken / kMillisecond) + (end ? " " + end->why : ""));
     }
     driver_.post(std::move(c));
     if (r.life.freeable()) free_later(r.id);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -68,6 +68,7 @@
     void look_drained();
     void end_all();
     Running* find(const std::string& id);
+    std::string name_of(EngineId id) const;
 
     net::Loop& loop_;
     NodeSettings settings_;
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -180,6 +180,7 @@
     double lot = 1;     // this front's draw for a cold engine's budget
     Micros shun_until = 0, shun_for = 0, full_until = 0, alive = 0, probed = 0, lot_until = 0;
     bool down = false;  // the last word was that it takes no connection
+    std::map<int, Micros> turns_away;  // by class: turned away without a crowd, it rests until then
 };
 
 struct ClassState {
@@ -513,7 +514,18 @@
         e.out_at_report = static_cast<int>(e.out.size());
     }
 
-    void judge(Engine& e, const Completed& c, const Attempt& a) {
+    // A full engine would look light. One whose own young report tells of no crowd is not full: it turns away
+    // this class for a reason of its own, and only this class rests. Guards against an engine that lacks what
+    // one class needs. Harm: where a report is behind, each class asks a full engine once.
+    void rest(Engine& e, int cls) {
+        const bool young = now - e.reported <= kReportLife && e.report.concurrent;
+        if (young && !under_pressure(e) && reported(e) * usual.threads <= kKnee * e.cores)
+            e.turns_away[cls] = now + kFullRest;
+        else
+            e.full_until = now + kFullRest;
+    }
+
+    void judge(Engine& e, const Completed& c, const Attempt& a, int cls) {
         const Outcome o = c.outcome;
         e.down = o == Outcome::econnrefused || (e.down && o != Outcome::done);
         if (o == Outcome::done) {
@@ -521,7 +533,7 @@
             if (e.errors < kErrorTrial) e.shun_for = 0;
         } else if (o == Outcome::err) {
             e.errors += kErrorStep * (1 - e.errors);
-        } else if (o == Outcome::busy) e.full_until = now + kFullRest;  // it would look light
+        } else if (o == Outcome::busy) rest(e, cls);
         const bool silent = o == Outcome::etimedout && e.alive < a.sent;  // no sign of life since
         const bool failing = o == Outcome::err && e.errors >= kErrorShun;
         if (silent || failing || o == Outcome::econnrefused || o == Outcome::econnreset) shun(e);
@@ -565,6 +577,8 @@
 
     bool has_room(const Engine& e, const Request& r) {
         // Jammed: work that no front counts any more runs on there, left by time-outs or by a dead front.
+        const auto turned = e.turns_away.find(r.cls);
+        if (turned != e.turns_away.end() && now < turned->second) return false;
         if (now < e.full_until || reported(e) * usual.threads > kJam * e.cores) return false;
         const double elsewhere = others(e);  // a guess if nothing was heard, which must not fill memory
         const double taken_mb = e.granted + (heard_lately() ? kReckoned * elsewhere * usual.memory : 0);
@@ -811,7 +825,7 @@
             if (fresh) e.probed = now - static_cast<Micros>((1 + uniform()) * kProbeEvery);
             if (entry.came_up > e.entry.came_up) {  // a fresh process: nothing known of the old one holds
                 e.shun_until = e.shun_for = e.full_until = 0;
-                e.errors = 0, e.slow = 1, e.down = false;
+                e.errors = 0, e.slow = 1, e.down = false, e.turns_away.clear();
             }
             e.entry = entry;
             e.listed = entry.state != EngineState::off;
@@ -900,7 +914,7 @@
         const bool lingers = c.outcome == Outcome::etimedout || c.outcome == Outcome::ecanceled;
         if (!lingers && c.outcome != Outcome::econnrefused) e.alive = now;
         if (c.report) take_report(e, c.report);
-        judge(e, c, a);
+        judge(e, c, a, r.cls);
         const bool done = c.outcome == Outcome::done;
         if (!s.cost_in_answers && (done || (lingers && e.alive >= a.sent)))
             approach(late, !done || c.taken > r.aim - r.arrival);
--- a/tests/policy/front_test.cpp
+++ b/tests/policy/front_test.cpp
@@ -341,6 +341,30 @@
     EXPECT_EQ(tally(rig, 1)[full], 0);
 }
 
+// Incident r24f211: two of five engines turned away every report, at once and with little to do; resting whole for a
+// second each time, they were lost to look-ups too.
+TEST(Health, AnEngineThatTurnsAwayOneClassWithoutACrowdStillGetsOthers) {
+    for (const double held : {1.0, 30.0}) {
+        Rig rig(plain());
+        rig.list({engine(1), engine(2)});
+        rig.demand("a", "long");
+        Completed away;
+        away.id = "a", away.engine = rig.sends[0].engine, away.outcome = Outcome::busy, away.taken = 1'000;
+        away.report = Report{};
+        away.report->concurrent = held;
+        rig.feed(away);
+        rig.run_until(100'000);
+        rig.demands(12, "s", "short"), rig.demands(4, "l", "long");
+        int shorts = 0, longs = 0;
+        for (std::size_t i = 1; i < rig.sends.size(); ++i)
+            if (rig.sends[i].engine == away.engine) ++(rig.sends[i].id[0] == 's' ? shorts : longs);
+        EXPECT_EQ(longs, 0);
+        if (held < 10) EXPECT_GT(shorts, 0);
+        else EXPECT_EQ(shorts, 0);  // full by its own word: nothing goes there
+        rig.run_until(1'100'000);
+    }
+}
+
 TEST(Health, AnEngineThatReportsAJamGetsNothing) {
     for (const double held : {4.0, 100.0}) {
         Rig rig(plain());
