An error that a second engine gives the same request too is the request's own

Checked by a probe of the module alone: with eight engines one such request takes two of them out of use. At fault: `judge` in brain.cpp, which laid every error on the engine that told it.

Change: where an earlier try of the request failed at another engine, neither is blamed, and what the first lost is given back. Errors of many requests on one engine count as before (a test of its own).

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -138,7 +138,8 @@
     double progress = 0;
     double expected() const { return std::max(work / threads, 1.0 * kMs); }
     double slowness(double lasts) const { return std::clamp(lasts / expected(), 0.2, 20.0); }
-    bool open = true, spilled = false, counted = true;  // counted in this front's part
+    double blame = 0;  // what its error has cost its engine of trust
+    bool open = true, spilled = false, failed = false, counted = true;  // counted in this front's part
 };
 
 struct Request {
@@ -525,18 +526,35 @@
             e.full_until = now + kFullRest;
     }
 
-    void judge(Engine& e, const Completed& c, const Attempt& a, int cls) {
+    // An error that another engine gave this request too is its own, and neither engine's: what the first one
+    // lost is given back. Guards against requests that no engine can use, a broken client's above all. Harm:
+    // where many engines fail at once, each is found out later.
+    void blame(Engine& e, Request& r, Attempt& a) {
+        a.failed = true;
+        const auto elsewhere = [&](const Attempt& b) { return b.failed && b.engine != a.engine; };
+        if (std::none_of(r.attempts.begin(), r.attempts.end(), elsewhere)) {
+            a.blame = kErrorStep * (1 - e.errors);
+            e.errors += a.blame;
+            if (e.errors >= kErrorShun) shun(e);
+            return;
+        }
+        for (Attempt& b : r.attempts) {
+            Engine& blamed = engines[b.engine];
+            blamed.errors = std::max(0.0, blamed.errors - std::exchange(b.blame, 0));
+        }
+    }
+
+    void judge(Engine& e, const Completed& c, Request& r, Attempt& a) {
         const Outcome o = c.outcome;
         e.down = o == Outcome::econnrefused || (e.down && o != Outcome::done);
         if (o == Outcome::done) {
             e.errors *= 1 - kErrorStep;
             if (e.errors < kErrorTrial) e.shun_for = 0;
         } else if (o == Outcome::err) {
-            e.errors += kErrorStep * (1 - e.errors);
-        } else if (o == Outcome::busy) rest(e, cls);
+            blame(e, r, a);
+        } else if (o == Outcome::busy) rest(e, r.cls);
         const bool silent = o == Outcome::etimedout && e.alive < a.sent;  // no sign of life since
-        const bool failing = o == Outcome::err && e.errors >= kErrorShun;
-        if (silent || failing || o == Outcome::econnrefused || o == Outcome::econnreset) shun(e);
+        if (silent || o == Outcome::econnrefused || o == Outcome::econnreset) shun(e);
     }
 
     bool ready(const Engine& e) const {
@@ -914,7 +932,7 @@
         const bool lingers = c.outcome == Outcome::etimedout || c.outcome == Outcome::ecanceled;
         if (!lingers && c.outcome != Outcome::econnrefused) e.alive = now;
         if (c.report) take_report(e, c.report);
-        judge(e, c, a, r.cls);
+        judge(e, c, r, a);
         const bool done = c.outcome == Outcome::done;
         if (!s.cost_in_answers && (done || (lingers && e.alive >= a.sent)))
             approach(late, !done || c.taken > r.aim - r.arrival);
--- a/tests/policy/front_test.cpp
+++ b/tests/policy/front_test.cpp
@@ -365,6 +365,42 @@
     }
 }
 
+// Seen on the platform's sockets: a request that no engine can use is answered with an error by each, six tries within a
+// millisecond, and three engines were shunned for it.
+TEST(Health, ARequestThatFailsEverywhereCostsNoEngineItsTrust) {
+    Settings s = plain();
+    s.attempts_cap = 6;
+    Rig rig(s);
+    rig.list({engine(1), engine(2), engine(3), engine(4), engine(5), engine(6), engine(7), engine(8)});
+    rig.demand("bad", "short");
+    for (int i = 0; i < 6; ++i) {
+        ASSERT_EQ(rig.sends.size(), static_cast<std::size_t>(i + 1));
+        rig.outcome("bad", i, rig.sends.back().engine, Outcome::err, false, 500);
+    }
+    rig.demands(40, "s", "short");
+    std::set<EngineId> used;
+    for (const Send& send : rig.sends)
+        if (send.id[0] == 's') used.insert(send.engine);
+    EXPECT_EQ(used.size(), 8u);
+    EXPECT_EQ(rig.sends_of('s'), 40);
+}
+
+// The other way round: errors of many requests on one engine are that engine's.
+TEST(Health, AnEngineThatFailsManyRequestsIsShunned) {
+    Rig rig(plain());
+    rig.list({engine(1), engine(2), engine(3), engine(4), engine(5)});
+    for (int i = 0; i < 60; ++i) {
+        const auto from = rig.sends.size();
+        rig.demand(nth("r", i), "short");
+        for (std::size_t n = from; n < rig.sends.size(); ++n) {  // what it tries again is sent meanwhile
+            const Send send = rig.sends[n];
+            const bool fails = send.engine == 2;
+            rig.outcome(send.id, static_cast<int>(n - from), send.engine, fails ? Outcome::err : Outcome::done, !fails);
+        }
+    }
+    EXPECT_LE(tally(rig, 0)[2], 4);
+}
+
 TEST(Health, AnEngineThatReportsAJamGetsNothing) {
     for (const double held : {4.0, 100.0}) {
         Rig rig(plain());
