An attempt without notes of its own is called off and sent again though its engine lives

The log of attempts: reports and loads timed out at exactly their whole time (6,104 and 7,632 ms). A probe, now in the log for good, tells each attempt's notes: they came every 0.35 s as they should and then stopped within 1.4 s, as the work had ended, while the engine went on answering others. So the answer was lost and the module waited for it for five more seconds.

Change: an attempt of which nothing was heard for two notes' time and 0.3 s is called off, where that frees work and leaves a try.

The new test fails on the old code. The node logs its classes and bounds at the start.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -36,6 +36,8 @@
     EngineId engine;
     Micros sent;
     net::TimerId timer = 0;
+    Micros noted = 0;  // when its last note came; for the log
+    int notes = 0;
     bool over = false;
     std::unique_ptr<Exchange> exchange;
 };
@@ -57,7 +59,9 @@
 };
 
 void Node::Attempt::on_note(NoteTopic topic, double value) {
-    if (!over) node.driver_.post(Note{running.id, number, engine, topic, value});
+    if (over) return;
+    ++notes, noted = node.loop_.now();
+    node.driver_.post(Note{running.id, number, engine, topic, value});
 }
 
 Node::Node(net::Loop& loop, NodeSettings settings, NodeDeps deps)
@@ -91,6 +95,14 @@
     from.port = 0;
     if (auto asked = dns_.start(from, settings_.dns); !asked) return Error{asked.error()};
     auto bound = clients_.listen(settings_.listen);
+    std::string classes;
+    const auto ms = [](Micros span) { return std::to_string(span / kMillisecond); };
+    for (const auto& c : settings_.module.classes)
+        classes += " " + c.name + "(aim " + ms(c.aim) + " ms, deadline " + ms(c.deadline) + " ms)";
+    deps_.log("classes" + classes + "; notes every " + ms(settings_.module.note_period) + " ms; " +
+              std::to_string(settings_.memory_mb) + " MB, " + std::to_string(settings_.sockets) +
+              " descriptors: " + std::to_string(bounds_.clients) + " for clients, " +
+              std::to_string(bounds_.engines) + " for engines");
     tick_timer_ = loop_.after(kTick, [this] { tick(); });
     return bound;
 }
@@ -295,9 +307,12 @@
             c.work_ms = end->work_ms, c.needed_mb = end->needed_mb;
     }
     if (deps_.trace && outcome != Outcome::done) {
-        deps_.trace(r.id + " " + r.cls->name + " attempt " + std::to_string(a.number) + " at " +
-                    name_of(a.engine) + " " + kOutcomes[static_cast<int>(outcome)] +
-                    " ms=" + std::to_string(c.taken / kMillisecond) + (end ? " " + end->why : ""));
+        deps_.trace(
+            r.id + " " + r.cls->name + " attempt " + std::to_string(a.number) + " at " + name_of(a.engine) +
+            " " + kOutcomes[static_cast<int>(outcome)] + " ms=" + std::to_string(c.taken / kMillisecond) +
+            " notes=" + std::to_string(a.notes) +
+            (a.notes > 0 ? " last_note_ms=" + std::to_string((a.noted - a.sent) / kMillisecond) : "") +
+            (end ? " " + end->why : ""));
     }
     driver_.post(std::move(c));
     if (r.life.freeable()) free_later(r.id);
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -138,6 +138,7 @@
     double progress = 0;
     double expected() const { return std::max(work / threads, 1.0 * kMs); }
     double slowness(double lasts) const { return std::clamp(lasts / expected(), 0.2, 20.0); }
+    Micros heard = 0;  // its last note
     double blame = 0;  // what its error has cost its engine of trust
     bool open = true, spilled = false, failed = false, counted = true;  // counted in this front's part
 };
@@ -811,6 +812,11 @@
             for (const auto& [slot, n] : e.out) {  // what is stuck must not bar other engines
                 Attempt& a = requests[slot].attempts[n];
                 if (static_cast<double>(now - a.sent) > kOverdue * (a.expected() + kSecond)) release(a);
+                // No word of this one while its engine lives: its answer is lost, however long it waits.
+                // Harm: an engine that notes some and forgets others loses their tries.
+                const Micros quiet = now - std::max({a.sent, a.heard, woke});
+                const bool lost = s.note_period > 0 && quiet >= 2 * s.note_period + kSilentAfter / 2;
+                if (lost && may_move(requests[slot])) actions.push_back(Cancel{requests[slot].id, n});
             }
             while (!e.cold.empty() && e.cold.front().first < now - s.overload_for) e.cold.pop_front();
             if (now >= e.lot_until) e.lot = uniform(), e.lot_until = now + s.overload_for;
@@ -956,6 +962,7 @@
         Attempt& a = requests[slot].attempts[n.attempt];
         engines[a.engine].alive = now;
         if (!a.open) return;
+        a.heard = now;
         Request& r = requests[slot];
         if (n.topic == NoteTopic::spills) learn_need(r, a, n.value);
         // Behind a load, of whatever front, it stands still: moved at once, as nothing is lost.
--- a/tests/policy/front_test.cpp
+++ b/tests/policy/front_test.cpp
@@ -122,6 +122,27 @@
     EXPECT_EQ(tally(rig, 1)[silent], 0);
 }
 
+// Incident r0e61aa: 1.5% of all answers never came, from any engine; notes of the attempt stopped with its work, those of
+// others on the same engine went on, and reports were waited for until their deadline.
+TEST(Health, AnAttemptWithoutNotesOfItsOwnIsTriedAgainThoughItsEngineLives) {
+    Settings s = plain();
+    s.note_period = 400'000;
+    Rig rig(s);
+    rig.list({engine(1)});
+    rig.demand("lost", "long"), rig.demand("good", "long");
+    ASSERT_EQ(rig.sends.size(), 2u);
+    for (Micros t = 400'000; t <= 3'200'000; t += 400'000) {
+        rig.run_until(t, false);
+        rig.feed(Note{"good", 0, 1, NoteTopic::progress, 0.1 + static_cast<double>(t) / 4e6});
+        if (t == 400'000) rig.feed(Note{"lost", 0, 1, NoteTopic::progress, 0.2});
+        EXPECT_TRUE(t >= 1'500'000 || rig.cancels.empty()) << t;
+    }
+    ASSERT_FALSE(rig.cancels.empty());
+    for (const Cancel& c : rig.cancels) EXPECT_EQ(c.id, "lost");
+    rig.outcome("lost", 0, 1, Outcome::ecanceled);
+    EXPECT_EQ(rig.sends.back().id, "lost");
+}
+
 TEST(Health, AStallOfTheFrontMakesNoEngineSilent) {
     Rig rig = awaiting_notes(500'000);
     rig.run_until(400'000, false);
