A short query without an answer after four usual runs is sent again in time

Change: where lateness earns nothing, nothing was heard of the attempt, and a fresh try can still make the aim, it is called off after four usual runs by its engine's or the fleet's slowness, whichever is more.

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -69,6 +69,7 @@
 constexpr Micros kSilentAfter = 600 * kMs;  // a note so long overdue means silence
 constexpr Micros kStall = 200 * kMs;  // no event, timers included: the front stood still
 constexpr double kTimeOutRuns = 6;    // usual runs that a trial may take where nothing can be called off
+constexpr double kLost = 4;  // usual runs, after which a short query without an answer is sent again in time
 constexpr double kRunaway = 3;  // an attempt with more than this many usual runs still to go is called off
 
 // Rules.
@@ -813,10 +814,16 @@
                 Attempt& a = requests[slot].attempts[n];
                 if (static_cast<double>(now - a.sent) > kOverdue * (a.expected() + kSecond)) release(a);
                 // No word of this one while its engine lives: its answer is lost, however long it waits.
-                // Harm: an engine that notes some and forgets others loses their tries.
+                // Harm: an engine that notes some and forgets others loses their tries. A short query ends
+                // before any note: it is overdue by its usual run, and sent again while its aim can be met.
                 const Micros quiet = now - std::max({a.sent, a.heard, woke});
                 const bool lost = s.note_period > 0 && quiet >= 2 * s.note_period + kSilentAfter / 2;
-                if (lost && may_move(requests[slot])) actions.push_back(Cancel{requests[slot].id, n});
+                const Request& r = requests[slot];
+                const double usual_run = a.expected() * std::max(e.slow, usual_slow());
+                const bool overdue = s.classes[r.cls].late_share <= 0 && a.heard == 0 && a.sent >= woke &&
+                                     static_cast<double>(now - a.sent) > kLost * usual_run &&
+                                     now + static_cast<Micros>(run_time(r)) <= r.aim;
+                if ((lost || overdue) && may_move(r)) actions.push_back(Cancel{r.id, n});
             }
             while (!e.cold.empty() && e.cold.front().first < now - s.overload_for) e.cold.pop_front();
             if (now >= e.lot_until) e.lot = uniform(), e.lot_until = now + s.overload_for;
--- a/tests/policy/front_test.cpp
+++ b/tests/policy/front_test.cpp
@@ -143,6 +143,26 @@
     EXPECT_EQ(rig.sends.back().id, "lost");
 }
 
+// The same incident's look-ups: they are over before a note is due, and worth nothing after their aim.
+TEST(Health, AShortQueryWithoutAnAnswerIsTriedAgainWhileItsAimCanBeMet) {
+    for (const double late_share : {0.0, 0.5}) {
+        Settings s = plain();
+        s.note_period = 1'000'000;
+        s.classes[0].late_share = late_share;
+        Rig rig(s);
+        rig.list({engine(1), engine(2)});
+        rig.demand("a", "short");  // 0.1 s, wanted within 1.2 s
+        rig.run_until(390'000, false);
+        EXPECT_TRUE(rig.cancels.empty());  // slow as yet
+        rig.run_until(500'000, false);
+        EXPECT_EQ(rig.cancels.empty(), late_share > 0);
+        if (late_share > 0) continue;
+        rig.outcome("a", 0, rig.sends[0].engine, Outcome::ecanceled);
+        ASSERT_EQ(rig.sends.size(), 2u);
+        EXPECT_NE(rig.sends[1].engine, rig.sends[0].engine);
+    }
+}
+
 TEST(Health, AStallOfTheFrontMakesNoEngineSilent) {
     Rig rig = awaiting_notes(500'000);
     rig.run_until(400'000, false);
