A reload takes the machine's limits; the checker's reading of peers' records is itself checked

Change: SIGHUP also takes limits (bounds of clients, requests and engine connections); what needs a restart is logged.

--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -33,6 +33,7 @@
     Result<net::Address> listen(const net::Address& at);
     // The answer to an open request, as a whole frame; passed over where the client has gone.
     void reply(Id id, std::int32_t seq, std::string frame);
+    void bound(const decide::NodeBounds& bounds) { bounds_ = bounds; }  // for whoever comes from now on
     std::size_t connections() const { return connections_.size(); }
     const ClientCounters& counters() const { return counters_; }
 
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -92,7 +92,8 @@
     s.sockets = positive<std::int64_t>(limits, "sockets");
     read_known(member(json, "known"), s);
     const Json& settings = member(json, "settings");
-    auto module = platform::parse_settings(settings.dump());
+    s.settings_text = settings.dump();
+    auto module = platform::parse_settings(s.settings_text);
     if (!module) throw Wrong(module.error());
     s.module = std::move(*module);
     if (s.module.classes.empty()) throw Wrong("settings.classes names no class");
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -25,6 +25,7 @@
     std::uint64_t known_number = 0;           // of the name service's last event before the start
     std::vector<decide::ListedEngine> known;  // the list as it then was
     Settings module;
+    std::string settings_text;  // as they stood in the file, to see whether another file changes them
 };
 
 // Errors name the member and what would be right.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -99,18 +99,33 @@
     const auto ms = [](Micros span) { return std::to_string(span / kMillisecond); };
     for (const auto& c : settings_.module.classes)
         classes += " " + c.name + "(aim " + ms(c.aim) + " ms, deadline " + ms(c.deadline) + " ms)";
-    deps_.log("classes" + classes + "; notes every " + ms(settings_.module.note_period) + " ms; " +
-              std::to_string(settings_.memory_mb) + " MB, " + std::to_string(settings_.sockets) +
-              " descriptors: " + std::to_string(bounds_.clients) + " for clients, " +
-              std::to_string(bounds_.engines) + " for engines");
+    deps_.log("classes" + classes + "; notes every " + ms(settings_.module.note_period) + " ms");
+    deps_.log(bounds_text());
     tick_timer_ = loop_.after(kTick, [this] { tick(); });
     return bound;
 }
 
+std::string Node::bounds_text() const {
+    return std::to_string(settings_.memory_mb) + " MB, " + std::to_string(settings_.sockets) +
+           " descriptors: " + std::to_string(bounds_.clients) + " for clients, " +
+           std::to_string(bounds_.engines) + " for engines; at most " + std::to_string(bounds_.requests) +
+           " requests";
+}
+
 void Node::reload(const NodeSettings& s) {
     if (s.dns != settings_.dns) deps_.log("the name service is asked at " + s.dns.text() + " from now on");
     settings_.dns = s.dns;
     dns_.move(s.dns);
+    if (s.sockets != settings_.sockets || s.memory_mb != settings_.memory_mb) {
+        settings_.sockets = s.sockets, settings_.memory_mb = s.memory_mb;
+        bounds_ = decide::bounds_of(s.sockets, s.memory_mb);
+        clients_.bound(bounds_);
+        pool_.most = bounds_.engines;
+        deps_.log(bounds_text());
+    }
+    if (s.settings_text != settings_.settings_text || s.listen != settings_.listen ||
+        s.name != settings_.name)
+        deps_.log("name, listen or settings have changed: that needs a restart, the old ones stay in force");
 }
 
 // ---- The list of engines
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -33,7 +33,8 @@
     Node& operator=(const Node&) = delete;
 
     Result<net::Address> start();  // the address that clients connect to
-    // A new configuration file: the name service's address. The rest is of the start.
+    // A new configuration file: the name service's address and the machine's limits. What the module was told
+    // at the start (settings, seed) and the address listened on need a restart; a change of them is logged.
     void reload(const NodeSettings& settings);
     // A planned restart: goes on serving while clients still come, refuses after that, ends what it has.
     // `done` once nothing is left. A second call changes nothing.
@@ -69,6 +70,7 @@
     void end_all();
     Running* find(const std::string& id);
     std::string name_of(EngineId id) const;
+    std::string bounds_text() const;
 
     net::Loop& loop_;
     NodeSettings settings_;
--- a/tests/lab/checker_test.cpp
+++ b/tests/lab/checker_test.cpp
@@ -7,6 +7,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <functional>
 
 namespace gatetiller::lab {
 namespace {
@@ -286,5 +287,125 @@
     EXPECT_EQ(bad.error().substr(0, 4), "r:1:");
 }
 
+// ---- Records of the other ends of a front node's sockets, each doctored in one way
+
+struct Peers {
+    Records r;
+    Peers() {
+        ClassSettings safe, load, once;
+        safe.name = "safe", safe.effect = Effect::repeatable, safe.deadline = 4 * kSecondMicros;
+        load.name = "load", load.effect = Effect::by_key, load.key_scope = Scope::all,
+        load.window = kSecondMicros;
+        once.name = "once", once.effect = Effect::once;
+        r.facts.classes = {safe, load, once};
+        for (const char* name : {"e1", "e2"}) {
+            EngineFacts e;
+            e.name = e.address = name;
+            r.facts.engines.push_back(e);
+        }
+        r.facts.drain_grace = 500 * kMillisecond;
+        list(0, "e1=on,e2=on");
+    }
+    void client(Micros at_ms, const std::string& event, const std::string& cls = "safe",
+                const std::string& detail = "") {
+        ClientRecord c;
+        c.at = at_ms * kMillisecond, c.event = event, c.trace = "t", c.front = "n", c.cls = cls,
+        c.detail = detail;
+        c.patience = 4 * kSecondMicros;
+        r.clients.push_back(c);
+    }
+    void asked(const std::string& cls = "safe") { client(0, "asked", cls), client(0, "taken", cls); }
+    void engine(Micros at_ms, const std::string& name, const std::string& event) {
+        engine::Entry e;
+        e.at = at_ms * kMillisecond, e.event = event, e.trace = "t", e.front = "n";
+        r.engines.push_back({name, e});
+    }
+    void list(Micros at_ms, const std::string& states) {
+        LabRecord l;
+        l.at = at_ms * kMillisecond, l.event = "list_served", l.who = "n", l.detail = states;
+        r.lab.push_back(l);
+    }
+    std::vector<int> rules() {
+        r.sort();
+        std::vector<int> broken;
+        for (const auto& v : judge(r).violations) broken.push_back(v.rule);
+        return broken;
+    }
+};
+
+TEST(PeersChecker, AGoodDayIsGood) {
+    Peers p;
+    p.asked();
+    p.engine(10, "e1", "arrived"), p.engine(20, "e1", "shed"), p.engine(30, "e2", "arrived"),
+        p.engine(60, "e2", "hit");
+    p.client(70, "final", "safe", "served");
+    EXPECT_TRUE(p.rules().empty());
+}
+
+TEST(PeersChecker, FindsWhatWasDoctored) {
+    const auto broken = [](const std::string& cls, const std::function<void(Peers&)>& doctor) {
+        Peers p;
+        p.asked(cls);
+        doctor(p);
+        return p.rules();
+    };
+    EXPECT_EQ(broken("safe", [](Peers& p) { p.client(4'070, "gave_up"); }),
+              std::vector<int>{1});  // never answered
+    EXPECT_EQ(broken("safe", [](Peers& p) { p.client(50, "lost"); }),
+              std::vector<int>{1});  // its connection ended
+    EXPECT_EQ(broken("safe",
+                     [](Peers& p) {
+                         p.client(50, "final", "safe", "served"), p.client(60, "final", "safe", "served");
+                     }),
+              std::vector<int>{1});
+    EXPECT_EQ(broken("safe",
+                     [](Peers& p) {
+                         p.client(50, "final", "safe", "refused"), p.engine(200, "e1", "arrived"),
+                             p.engine(210, "e1", "hit");
+                     }),
+              std::vector<int>{1});
+    EXPECT_EQ(broken("safe",
+                     [](Peers& p) {
+                         p.client(50, "left"), p.engine(200, "e1", "arrived"), p.engine(210, "e1", "undone");
+                     }),
+              std::vector<int>{1});
+    EXPECT_EQ(broken("safe",
+                     [](Peers& p) {  // two out at once
+                         p.engine(10, "e1", "arrived"), p.engine(20, "e2", "arrived"),
+                             p.engine(200, "e1", "undone"), p.engine(210, "e2", "hit"),
+                             p.client(220, "final", "safe", "served");
+                     }),
+              std::vector<int>{0});
+    EXPECT_EQ(broken("once",
+                     [](Peers& p) {
+                         p.engine(10, "e1", "arrived"), p.engine(20, "e1", "fault"),
+                             p.engine(30, "e2", "arrived"), p.engine(40, "e2", "hit"),
+                             p.client(50, "final", "once", "served");
+                     }),
+              std::vector<int>{2});
+    EXPECT_EQ(broken("once",
+                     [](Peers& p) {
+                         p.engine(10, "e1", "arrived"), p.engine(20, "e1", "connection_ended"),
+                             p.client(50, "final", "once", "refused");
+                     }),
+              std::vector<int>{2});
+    EXPECT_EQ(broken("load",
+                     [](Peers& p) {  // after the engines may have forgotten its key
+                         p.engine(10, "e1", "arrived"), p.engine(20, "e1", "fault"),
+                             p.engine(1'200, "e2", "arrived"), p.engine(1'210, "e2", "hit"),
+                             p.client(1'220, "final", "load", "served");
+                     }),
+              std::vector<int>{2});
+    EXPECT_EQ(broken("safe",
+                     [](Peers& p) {
+                         p.list(100, "e1=fading,e2=on"), p.engine(700, "e1", "arrived"),
+                             p.engine(710, "e1", "hit"), p.client(720, "final", "safe", "served");
+                     }),
+              std::vector<int>{3});
+    EXPECT_EQ(broken("safe",
+                     [](Peers& p) { p.engine(10, "e1", "fallen"), p.client(50, "final", "safe", "failed"); }),
+              std::vector<int>{4});
+}
+
 }  // namespace
 }  // namespace gatetiller::lab
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -145,7 +145,10 @@
     names.put({"s-1", "z", "std", {{"n0", *net::Address::parse("127.1.0.1:5050")}}, true});
     auto moved = settings;
     moved.dns = *names.listen("n0", *net::Address::parse("127.2.0.2:1053"));
+    moved.sockets = 1024, moved.settings_text = "other";
     node->reload(moved);
+    EXPECT_NE(log.find("1024 descriptors"), std::string::npos) << log;
+    EXPECT_NE(log.find("needs a restart"), std::string::npos) << log;
     ASSERT_TRUE(until([&] { return node->status().find("list=3") != std::string::npos; }, 2 * kSecondMicros));
 }
 
--- a/tests/node/rig.hpp
+++ b/tests/node/rig.hpp
@@ -66,8 +66,8 @@
         settings.dns = *dns;
         auto known = known_list();
         settings.known_number = names.number(), settings.known = known;
-        node =
-            std::make_unique<node::Node>(loop, settings, node::NodeDeps{[](const std::string&) {}, nullptr});
+        node = std::make_unique<node::Node>(
+            loop, settings, node::NodeDeps{[this](const std::string& t) { log += t + "\n"; }, nullptr});
         ASSERT_TRUE(node->start());
         ready();
     }
@@ -127,6 +127,7 @@
     sim::VirtualLoop loop{{.seed = 1}};
     Random random{7};
     std::uint64_t seed = 0;
+    std::string log;
     lab::Records records;
     lab::NameService names{loop, records, 3};
     node::NodeSettings settings;
