What the front node chose in its wiring is decided in src/decide, with tests of its own

Change: decide/engine_connections, client_numbers, node_admission; the wiring asks them. No change of behaviour but the order of checks at admission (an id that is open goes first).

--- /dev/null
+++ b/src/decide/node_admission.hpp
@@ -0,0 +1,22 @@
+// Whether a whole and well-formed request is taken by a front node, before the module hears of it.
+#pragma once
+
+#include <cstddef>
+
+#include "decide/node_bounds.hpp"
+#include "decide/planned_restart.hpp"
+
+namespace gatetiller::decide {
+
+struct NodeHolding {
+    std::size_t requests = 0, statement_bytes = 0;  // taken and not over
+    bool same_id = false;                           // one of them bears the id of the new one
+    Micros draining_for = 0;                        // since the signal; 0: no planned restart
+};
+
+// Each but `taken` is refused at once: nothing of it was sent, so trying again is harmless.
+enum class NodeAdmission { taken, twice, no_room, ending };
+NodeAdmission admit(const NodeHolding& holding, std::size_t statement_bytes, const NodeBounds& bounds,
+                    const RestartTimes& times);
+
+}  // namespace gatetiller::decide
--- a/src/decide/node_bounds.hpp
+++ b/src/decide/node_bounds.hpp
@@ -27,7 +27,6 @@
     Micros half_request = 2 * kSecondMicros;   // from a request's first byte to its last
     Micros last_words = kSecondMicros;         // for a client to read why it is closed
 };
-constexpr std::size_t kOpenMost = 32;  // requests on one connection, by the protocol
 
 struct ClientFacts {
     Micros connected = 0, last_active = 0;
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -1,7 +1,5 @@
 #include "node/clients.hpp"
 
-#include <set>
-
 namespace gatetiller::node {
 namespace {
 
@@ -54,8 +52,8 @@
                 stream->send(thrift::answer(call.method, call.seq, {}));
                 return;
             case What::give_up:
-                if (open.erase(call.given_up) > 0) {
-                    facts.open = open.size();
+                if (numbers.end(call.given_up)) {
+                    facts.open = numbers.open();
                     clients.events_.given_up(id, call.given_up);
                 }
                 return;
@@ -65,14 +63,16 @@
                 return;
             case What::process: break;
         }
-        if (call.seq <= last_seq)
-            return close_with(call.seq, thrift::Fault::bad_sequence, "sequence numbers must climb");
-        if (open.size() >= decide::kOpenMost)
-            return close_with(call.seq, thrift::Fault::protocol,
-                              "more than " + std::to_string(decide::kOpenMost) + " open requests");
-        last_seq = call.seq;
-        open.insert(call.seq);
-        facts.open = open.size();
+        switch (numbers.take(call.seq)) {
+            case decide::ClientNumbers::Verdict::taken: break;
+            case decide::ClientNumbers::Verdict::not_climbing:
+                return close_with(call.seq, thrift::Fault::bad_sequence, "sequence numbers must climb");
+            case decide::ClientNumbers::Verdict::too_many:
+                return close_with(
+                    call.seq, thrift::Fault::protocol,
+                    "more than " + std::to_string(decide::ClientNumbers::kOpenMost) + " open requests");
+        }
+        facts.open = numbers.open();
         facts.served = true;
         clients.events_.request(id, std::move(call));
     }
@@ -83,15 +83,14 @@
         facts.closing = true, facts.closing_since = clients.loop_.now();
         facts.open = 0, facts.half_since = 0;
         stream->send(thrift::exception("process", seq, fault, why));
-        for (const auto left : std::exchange(open, {})) clients.events_.given_up(id, left);
+        for (const auto left : numbers.end_all()) clients.events_.given_up(id, left);
     }
 
     Clients& clients;
     Id id;
     std::unique_ptr<net::Stream> stream;
     decide::ClientFacts facts;
-    std::set<std::int32_t> open;
-    std::int32_t last_seq = 0;
+    decide::ClientNumbers numbers;
     std::shared_ptr<char> alive = std::make_shared<char>();
 };
 
@@ -127,9 +126,9 @@
 
 void Clients::reply(Id id, std::int32_t seq, std::string frame) {
     const auto found = connections_.find(id);
-    if (found == connections_.end() || found->second->open.erase(seq) == 0) return;
+    if (found == connections_.end() || !found->second->numbers.end(seq)) return;
     Connection& c = *found->second;
-    c.facts.open = c.open.size();
+    c.facts.open = c.numbers.open();
     c.facts.last_active = loop_.now();
     c.stream->send(std::move(frame));
     if (c.stream->unsent() > bounds_.unsent_bytes) drop(id);
@@ -140,7 +139,7 @@
     if (found == connections_.end()) return;
     const auto kept = std::move(found->second);
     connections_.erase(found);
-    for (const auto left : std::exchange(kept->open, {})) events_.given_up(id, left);
+    for (const auto left : kept->numbers.end_all()) events_.given_up(id, left);
 }
 
 void Clients::sweep() {
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "decide/client_numbers.hpp"
 #include "decide/node_bounds.hpp"
 #include "net/loop.hpp"
 #include "thrift/service.hpp"
--- a/src/node/engine_link.cpp
+++ b/src/node/engine_link.cpp
@@ -12,9 +12,6 @@
 using decide::ExchangeEnd;
 using How = ExchangeEnd::How;
 
-constexpr std::size_t kIdsMost = 2000;             // requests that one connection ever carries
-constexpr Micros kIdleMargin = 2 * kSecondMicros;  // before the engine closes an idle connection
-
 const resp::Limits kAnswer{4, 8 * 1024};
 
 std::optional<Report> report_of(std::string_view gauges) {
@@ -115,6 +112,9 @@
         return finish(e, std::move(end));
     }
 
+    decide::LinkFacts facts(const std::string& id) const {
+        return {open.size(), ids.size(), ids.contains(id), retired, used};
+    }
     bool finish(Exchange& e, ExchangeEnd end) {
         release(e);
         const std::weak_ptr<char> here = alive;
@@ -180,7 +180,7 @@
         on_->stream->send(resp::array({"bump", id_, std::to_string(level)}));
 }
 
-EngineLink::EngineLink(net::Loop& loop, net::Address address, LinkLimits limits, LinkPool& pool)
+EngineLink::EngineLink(net::Loop& loop, net::Address address, decide::LinkLimits limits, LinkPool& pool)
     : loop_(loop), address_(std::move(address)), limits_(limits), pool_(pool) {}
 
 EngineLink::~EngineLink() {
@@ -195,23 +195,13 @@
 }
 
 Exchange::Connection* EngineLink::choose(const std::string& id) {
-    Exchange::Connection* best = nullptr;
-    for (const auto& c : connections_) {
-        if (c->retired || c->ids.size() >= kIdsMost || c->open.size() >= limits_.streams) continue;
-        if (c->ids.contains(id)) continue;
-        const bool stale = c->open.empty() && limits_.idle_close > 0 &&
-                           loop_.now() - c->used > limits_.idle_close - kIdleMargin;
-        // Of those with the fewest requests the one used last: the others may idle away.
-        if (!stale &&
-            (!best || std::pair(c->open.size(), -c->used) < std::pair(best->open.size(), -best->used)))
-            best = c.get();
-    }
-    // Shared where this engine has its number, or no descriptor is left for one more.
-    const auto may_open = [&] {
-        return connections_.size() < limits_.connections &&
-               (pool_.open < pool_.most || (pool_.make_room && pool_.make_room()));
-    };
-    if (best && (best->open.empty() || !may_open())) return best;
+    std::vector<decide::LinkFacts> facts;
+    facts.reserve(connections_.size());
+    for (const auto& c : connections_) facts.push_back(c->facts(id));
+    const auto choice = decide::connection_for(facts, loop_.now(), limits_);
+    auto* const use = choice.use ? connections_[*choice.use].get() : nullptr;
+    const auto room = [&] { return pool_.open < pool_.most || (pool_.make_room && pool_.make_room()); };
+    if (use && !(choice.new_if_room && room())) return use;
     connections_.push_back(std::make_unique<Exchange::Connection>(*this));
     auto& fresh = *connections_.back();
     fresh.stream = loop_.connect(address_, fresh, limits_.connect_time_out);
@@ -239,10 +229,8 @@
 }
 
 void EngineLink::close_idle() {
-    if (limits_.idle_close <= 0) return;
-    std::erase_if(connections_, [&](const auto& c) {
-        return c->open.empty() && loop_.now() - c->used > limits_.idle_close - kIdleMargin;
-    });
+    std::erase_if(connections_,
+                  [&](const auto& c) { return decide::stale(c->facts(""), loop_.now(), limits_); });
 }
 
 bool EngineLink::drop_one_idle() {
--- a/src/node/engine_link.hpp
+++ b/src/node/engine_link.hpp
@@ -11,19 +11,13 @@
 #include <string>
 #include <vector>
 
+#include "decide/engine_connections.hpp"
 #include "decide/exchange.hpp"
 #include "net/loop.hpp"
 #include "policy/brain.hpp"
 
 namespace gatetiller::node {
 
-struct LinkLimits {
-    std::size_t connections = 8;  // to this engine
-    std::size_t streams = 100;    // requests on one connection
-    Micros connect_time_out = 250 * kMillisecond;
-    Micros idle_close = 0;  // the engine's; 0: never
-};
-
 // What all links of a front node share.
 struct LinkPool {
     std::size_t most = 64, open = 0;  // connections
@@ -62,7 +56,7 @@
 
 class EngineLink {
 public:
-    EngineLink(net::Loop& loop, net::Address address, LinkLimits limits, LinkPool& pool);
+    EngineLink(net::Loop& loop, net::Address address, decide::LinkLimits limits, LinkPool& pool);
     ~EngineLink();  // gives up what is open without a word to its owners
     EngineLink(const EngineLink&) = delete;
     EngineLink& operator=(const EngineLink&) = delete;
@@ -82,7 +76,7 @@
 
     net::Loop& loop_;
     net::Address address_;
-    LinkLimits limits_;
+    decide::LinkLimits limits_;
     LinkPool& pool_;
     std::vector<std::unique_ptr<Exchange::Connection>> connections_;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -133,7 +133,7 @@
 void Node::take_list(std::uint64_t number, const std::vector<decide::ListedEngine>& list) {
     auto change = list_.take(number, list, loop_.now(), loop_.wall());
     if (!change) return;
-    LinkLimits limits;
+    decide::LinkLimits limits;
     limits.connections = std::max<std::size_t>(1, bounds_.engines / 2);  // the pool bounds them all together
     limits.streams = static_cast<std::size_t>(settings_.streams);
     limits.connect_time_out = settings_.connect_time_out;
@@ -174,11 +174,14 @@
             hint["pause"] = std::to_string(settings_.module.max_retry_after / kMillisecond);
         return thrift::rejected(call.seq, hint);
     };
-    if (running_.contains(checked->id)) return turned_away("twice", full());
-    if (draining_since_ > 0 && loop_.now() - draining_since_ >= restart_.takes_new)
-        return turned_away("ending", thrift::rejected(call.seq, {}));
-    if (running_.size() >= bounds_.requests || statement_bytes_ + call.body.size() > bounds_.statement_bytes)
-        return turned_away("no_room", full());
+    const decide::NodeHolding holding{running_.size(), statement_bytes_, running_.contains(checked->id),
+                                      draining_since_ > 0 ? loop_.now() - draining_since_ : 0};
+    switch (decide::admit(holding, call.body.size(), bounds_, restart_)) {
+        case decide::NodeAdmission::taken: break;
+        case decide::NodeAdmission::twice: return turned_away("twice", full());
+        case decide::NodeAdmission::no_room: return turned_away("no_room", full());
+        case decide::NodeAdmission::ending: return turned_away("ending", thrift::rejected(call.seq, {}));
+    }
     const Micros left = decide::time_left(checked->patience, loop_.unseen(), kAnswerReserve);
     auto r = std::make_unique<Running>();
     r->id = checked->id, r->token = checked->token, r->body = std::move(call.body);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -12,7 +12,7 @@
 #include "core/driver.hpp"
 #include "decide/client_request.hpp"
 #include "decide/life.hpp"
-#include "decide/planned_restart.hpp"
+#include "decide/node_admission.hpp"
 #include "node/clients.hpp"
 #include "node/config.hpp"
 #include "node/engine_link.hpp"
--- a/tests/decide/node_test.cpp
+++ b/tests/decide/node_test.cpp
@@ -2,9 +2,12 @@
 // answer proves, bounds.
 #include <gtest/gtest.h>
 
+#include "decide/client_numbers.hpp"
 #include "decide/client_request.hpp"
+#include "decide/engine_connections.hpp"
 #include "decide/engine_list.hpp"
 #include "decide/exchange.hpp"
+#include "decide/node_admission.hpp"
 #include "decide/node_bounds.hpp"
 #include "decide/table_group.hpp"
 
@@ -192,6 +195,64 @@
     EXPECT_LE(bounds_of(256, 32).statement_bytes, 32u << 18);
 }
 
+TEST(EngineConnections, AFreeOneGoesFirstAndThenANewOneAndThenTheLeastShared) {
+    LinkLimits limits;
+    limits.connections = 3, limits.idle_close = 30 * kSecondMicros;
+    const Micros now = 100 * kSecondMicros;
+    std::vector<LinkFacts> all(2);
+    all[0] = {.used = now - 5}, all[1] = {.used = now - 1};
+    EXPECT_EQ(connection_for(all, now, limits).use, 1u);  // the one used last
+    EXPECT_FALSE(connection_for(all, now, limits).new_if_room);
+    all[0].open = 2, all[1].open = 1;
+    EXPECT_EQ(connection_for(all, now, limits).use, 1u);
+    EXPECT_TRUE(connection_for(all, now, limits).new_if_room);
+    all.resize(3), all[2].open = 5;
+    EXPECT_FALSE(connection_for(all, now, limits).new_if_room);  // the engine has its number
+}
+
+TEST(EngineConnections, OnesThatCouldMisleadAreNotUsed) {
+    LinkLimits limits;
+    limits.idle_close = 30 * kSecondMicros, limits.streams = 4;
+    const Micros now = 100 * kSecondMicros;
+    const LinkFacts bad[] = {{.retired = true, .used = now},
+                             {.asked = 1, .asked_this = true, .used = now},
+                             {.used = now - 29 * kSecondMicros},
+                             {.open = 4, .used = now},
+                             {.asked = 2000, .used = now}};
+    for (const auto& c : bad) EXPECT_FALSE(connection_for({c}, now, limits).use);
+    EXPECT_EQ(connection_for({bad[0], {.used = now}}, now, limits).use, 1u);
+    EXPECT_FALSE(stale({.open = 1, .used = 0}, now, limits));
+}
+
+TEST(ClientNumbers, ClimbAndAreFewAtATime) {
+    using Verdict = ClientNumbers::Verdict;
+    ClientNumbers n;
+    EXPECT_EQ(n.take(0), Verdict::not_climbing);
+    for (int i = 1; i <= 32; ++i) EXPECT_EQ(n.take(i), Verdict::taken);
+    EXPECT_EQ(n.take(32), Verdict::not_climbing);
+    EXPECT_EQ(n.take(33), Verdict::too_many);
+    EXPECT_TRUE(n.end(5));
+    EXPECT_FALSE(n.end(5));
+    EXPECT_EQ(n.take(5), Verdict::not_climbing);  // a number that was answered stands for nothing else
+    EXPECT_EQ(n.take(40), Verdict::taken);
+    EXPECT_EQ(n.end_all().size(), 32u);
+    EXPECT_EQ(n.open(), 0u);
+}
+
+TEST(NodeAdmission, RefusesWhatCouldNotBeKeptApartOrHeld) {
+    const NodeBounds bounds{.requests = 2, .statement_bytes = 100};
+    const RestartTimes times;
+    const auto verdict = [&](NodeHolding h, std::size_t bytes = 10) {
+        return admit(h, bytes, bounds, times);
+    };
+    EXPECT_EQ(verdict({}), NodeAdmission::taken);
+    EXPECT_EQ(verdict({.requests = 2}), NodeAdmission::no_room);
+    EXPECT_EQ(verdict({.statement_bytes = 95}), NodeAdmission::no_room);
+    EXPECT_EQ(verdict({.requests = 2, .same_id = true}), NodeAdmission::twice);
+    EXPECT_EQ(verdict({.draining_for = times.takes_new - 1}), NodeAdmission::taken);
+    EXPECT_EQ(verdict({.draining_for = times.takes_new}), NodeAdmission::ending);
+}
+
 TEST(Doors, WhoNeverAsksOrStopsHalfwayIsClosedInTime) {
     DoorTimes t;
     ClientFacts c;
