A full table of clients closes as many as are over its number

Checked: engine connections are pooled as before; the new test shows 413 client connections where 151 are allowed. At fault: Clients::make_room closed one for each newcomer, while each pause of the listener had let one more in for good. Change: it closes until the number is kept, or nobody may be closed yet.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -133,6 +133,11 @@
 // Whoever leaves must have had time to speak; until then newcomers wait outside. One is in already, over the
 // number.
 void Clients::make_room() {
+    while (connections_.size() >= bounds_.clients)
+        if (!close_one()) return;
+}
+
+bool Clients::close_one() {
     std::vector<decide::ClientFacts> facts;
     std::vector<Id> ids;
     for (const auto& [id, c] : connections_) facts.push_back(c->facts), ids.push_back(id);
@@ -141,16 +146,18 @@
     const Micros at = leaves ? decide::may_leave_at(facts[*leaves], times_) : now + times_.to_speak;
     if (at <= now) {
         ++counters_.evicted;
-        return drop(ids[*leaves]);
+        drop(ids[*leaves]);
+        return true;
     }
     ++counters_.waits;
-    if (resume_ != 0) return;
+    if (resume_ != 0) return false;
     if (waiting_since_ == 0) waiting_since_ = now;
     listener_->accept(false);
     resume_ = loop_.after(at - now, [this] {
         resume_ = 0;
         listener_->accept(true);
     });
+    return false;
 }
 
 void Clients::reply(Id id, std::int32_t seq, std::string frame) {
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -43,6 +43,7 @@
     struct Connection;
     void accepted(std::unique_ptr<net::Stream> stream);
     void make_room();
+    bool close_one();  // false: nobody may be closed yet, and newcomers wait
     void drop(Id id);
     void sweep();
 
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -223,7 +223,8 @@
     engine("s-1");
     start();
     std::vector<lab::PlatformClient*> usual;
-    for (int i = 0; i < 600; ++i) {
+    for (int i = 0; i < 1500; ++i) {
+        if (i % 300 == 299) pass(60 * kMillisecond);
         auto& c = client();
         if (i % 60 != 30) continue;
         usual.push_back(&c);
@@ -232,6 +233,10 @@
     ASSERT_TRUE(until([&] {
         return std::all_of(usual.begin(), usual.end(), [](const auto* c) { return c->open() == 0; });
     }));
+    // Each pause lets one more in: without closing as many as are over, the table grew by one a pause.
+    const auto at = node->status().find("clients=") + 8;
+    EXPECT_LE(std::stoul(node->status().substr(at)), decide::bounds_of(256, 32).clients + 1)
+        << node->status();
     for (const auto* c : usual) EXPECT_TRUE(c->got().contains(1) && c->got().at(1).how == "served");
     expect_rules_kept();
 }
