One piece of code where the front node's change had written it twice

Seen: the front node and its stand-ins wrote byte order, names of outcomes, fields of an engine's answer and a client's calls twice each. Put together in base/bytes, decide and thrift; faults of a stand-in that no test used are gone.

256 tests green.

--- a/src/bench/wire.cpp
+++ b/src/bench/wire.cpp
@@ -94,6 +94,7 @@
                                                             {"total", ListForm::total},
                                                             {"warm_copy", ListForm::warm_copy},
                                                             {"lost", ListForm::lost}};
+
 std::optional<Report> parse_report(std::optional<std::string_view> text) {
     if (!text || text->empty()) return std::nullopt;
     Report report;
--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -3,7 +3,6 @@
 
 #include <csignal>
 #include <cstdio>
-#include <cstdlib>
 
 #include "cli/commands.hpp"
 #include "cli/process.hpp"
--- a/src/decide/attempt_end.cpp
+++ b/src/decide/attempt_end.cpp
@@ -1,7 +1,15 @@
 #include "decide/attempt_end.hpp"
 
+#include <array>
+
 namespace gatetiller::decide {
 
+const char* name_of(Outcome outcome) {
+    constexpr std::array kNames = {"done",         "err",        "busy",      "etimedout",
+                                   "econnrefused", "econnreset", "ecanceled", "skipped"};
+    return kNames[static_cast<std::size_t>(outcome)];
+}
+
 Verdict judge(const AttemptEnd& end) {
     using How = AttemptEnd::How;
     switch (end.how) {
--- a/src/decide/attempt_end.hpp
+++ b/src/decide/attempt_end.hpp
@@ -8,6 +8,8 @@
 
 namespace gatetiller::decide {
 
+const char* name_of(Outcome outcome);  // for logs and metrics
+
 struct AttemptEnd {
     enum class How { answered, not_sent, connect_late, turned_away, lost, late };
     How how = How::answered;
--- a/src/decide/exchange.cpp
+++ b/src/decide/exchange.cpp
@@ -23,24 +23,26 @@
     return Outcome::econnreset;
 }
 
-bool never_ran(Outcome o) {
-    return o == Outcome::busy || o == Outcome::econnrefused || o == Outcome::skipped;
-}
-
-bool read_fields(std::string_view text, std::vector<std::pair<std::string_view, std::string_view>>& fields) {
-    fields.clear();
+bool AnswerFields::read(std::string_view text) {
+    fields_.clear();
     if (text == "-") return true;
     for (std::size_t at = 0; at <= text.size();) {
         const std::size_t end = std::min(text.find(',', at), text.size());
         const auto part = text.substr(at, end - at);
         const std::size_t equals = part.find('=');
-        if (equals == std::string_view::npos || equals == 0 || fields.size() >= kFieldsMost) return false;
-        fields.emplace_back(part.substr(0, equals), part.substr(equals + 1));
+        if (equals == std::string_view::npos || equals == 0 || fields_.size() >= kFieldsMost) return false;
+        fields_.emplace_back(part.substr(0, equals), part.substr(equals + 1));
         at = end + 1;
     }
     return true;
 }
 
+std::string_view AnswerFields::find(std::string_view name) const {
+    for (const auto& [key, value] : fields_)
+        if (key == name) return value;
+    return {};
+}
+
 bool ResultPages::fits(std::string_view page) {
     bytes_ += page.size();
     return page.size() <= kPageMost && bytes_ <= kResultMost && whole_rows(page, kColumns);
--- a/src/decide/exchange.hpp
+++ b/src/decide/exchange.hpp
@@ -27,11 +27,16 @@
 };
 
 Outcome outcome_of(ExchangeEnd::How how);
-// Whether an attempt that ended so is known not to have run.
-bool never_ran(Outcome outcome);
 
-// The fields of an answer: "name=value,name=value" or "-". False where that can't be read.
-bool read_fields(std::string_view text, std::vector<std::pair<std::string_view, std::string_view>>& fields);
+// The fields of a message on an engine's connection: "name=value,name=value" or "-". Views of the text read.
+class AnswerFields {
+public:
+    bool read(std::string_view text);                    // false where it can't be read
+    std::string_view find(std::string_view name) const;  // the first of that name; empty where there is none
+
+private:
+    std::vector<std::pair<std::string_view, std::string_view>> fields_;
+};
 
 // The result of one attempt, page by page: bounded, each page once, each of whole rows.
 class ResultPages {
--- a/src/dns/dns.cpp
+++ b/src/dns/dns.cpp
@@ -4,6 +4,7 @@
 #include <arpa/nameser.h>
 #include <resolv.h>
 
+#include "base/bytes.hpp"
 #include "base/text.hpp"
 
 namespace gatetiller::dns {
@@ -18,11 +19,6 @@
     return out;
 }
 
-void put16(std::string& to, std::uint16_t value) {
-    to.push_back(static_cast<char>(value >> 8));
-    to.push_back(static_cast<char>(value & 0xff));
-}
-
 // The records of one section, one call each; false where one can't be read.
 template <typename Take>
 bool each(ns_msg& message, ns_sect section, Take take) {
@@ -35,17 +31,23 @@
 
 }  // namespace
 
-std::string srv_question(std::uint16_t id, const std::string& name) {
+std::string encoded_name(std::string_view name) {
     std::string out;
-    put16(out, id);
-    for (const std::uint16_t word : {0, 1, 0, 0, 0}) put16(out, word);  // a plain query with one question
     for (const auto label : split(name, '.')) {
         out.push_back(static_cast<char>(label.size()));
         out.append(label);
     }
-    out.push_back('\0');
-    put16(out, ns_t_srv);
-    put16(out, ns_c_in);
+    return out + '\0';
+}
+
+std::string srv_question(std::uint16_t id, const std::string& name) {
+    std::string out;
+    put_big_endian(out, id, 2);
+    for (const unsigned word : {0u, 1u, 0u, 0u, 0u})
+        put_big_endian(out, word, 2);  // a plain query with one question
+    out += encoded_name(name);
+    put_big_endian(out, ns_t_srv, 2);
+    put_big_endian(out, ns_c_in, 2);
     return out;
 }
 
--- a/src/dns/dns.hpp
+++ b/src/dns/dns.hpp
@@ -13,6 +13,7 @@
 
 namespace gatetiller::dns {
 
+std::string encoded_name(std::string_view name);  // as labels, not compressed
 std::string srv_question(std::uint16_t id, const std::string& name);
 
 struct Service {
--- a/src/front/metrics.cpp
+++ b/src/front/metrics.cpp
@@ -2,7 +2,7 @@
 
 #include <prometheus/text_serializer.h>
 
-#include <array>
+#include "decide/attempt_end.hpp"
 
 namespace gatetiller::front {
 
@@ -20,12 +20,6 @@
 
 namespace {
 
-const char* name_of(Outcome o) {
-    constexpr std::array kNames = {"done",         "err",        "busy",      "etimedout",
-                                   "econnrefused", "econnreset", "ecanceled", "skipped"};
-    return kNames[static_cast<std::size_t>(o)];
-}
-
 const prometheus::Histogram::BucketBoundaries kSeconds = {0.005, 0.02, 0.05, 0.1, 0.25, 0.5,
                                                           1,     2,    4,    8,   16,   32};
 
@@ -61,7 +55,7 @@
 
 void Metrics::taken(const std::string& cls) { taken_.Add({{"class", cls}}).Increment(); }
 void Metrics::turned_away(const char* why) { turned_away_.Add({{"why", why}}).Increment(); }
-void Metrics::attempt(Outcome outcome) { attempts_.Add({{"outcome", name_of(outcome)}}).Increment(); }
+void Metrics::attempt(Outcome outcome) { attempts_.Add({{"outcome", decide::name_of(outcome)}}).Increment(); }
 
 void Metrics::finished(const Finished& f) {
     finished_.Add({{"class", f.cls}, {"ended", name_of(f.ended)}}).Increment();
--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -443,19 +443,20 @@
     void on_attempt(const SocketRecord& r, Front& f, const Attempt& a) {
         const auto& before = f.statements[a.trace].attempts;
         Statement& s = f.statements[a.trace];
-        if (s.final_at && *s.final_at < r.at)
+        if (s.final_at && *s.final_at <= r.at)
             broken(1, r.at, r.front, a.trace, "sent to an engine after its final answer was given");
         if (s.client_deleted && *s.client_deleted < r.at)
             broken(1, r.at, r.front, a.trace, "sent to an engine after its client had cancelled it");
-        for (const std::size_t n : before) {
-            if (peers_) break;  // judged once all ends are read
-            Attempt& earlier = f.attempts[n];
-            if (earlier.ended) continue;
-            if (!earlier.answered)
-                earlier.left_unanswered = true, earlier.ended = r.at, earlier.quiet_end = true;
-            else if (!records_.facts.may_duplicate)
-                broken(0, r.at, r.front, a.trace,
-                       "sent while an earlier attempt was out on " + name_of(earlier.engine));
+        if (!peers_) {  // else judged once all ends are read
+            for (const std::size_t n : before) {
+                Attempt& earlier = f.attempts[n];
+                if (earlier.ended) continue;
+                if (!earlier.answered)
+                    earlier.left_unanswered = true, earlier.ended = r.at, earlier.quiet_end = true;
+                else if (!records_.facts.may_duplicate)
+                    broken(0, r.at, r.front, a.trace,
+                           "sent while an earlier attempt was out on " + name_of(earlier.engine));
+            }
         }
         for (const auto* drains : {&f.drains_by_engine, &f.drains_by_list}) {
             const auto told = drains->find(a.engine);
--- a/src/lab/platform.cpp
+++ b/src/lab/platform.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/bytes.hpp"
 #include "base/text.hpp"
 #include "decide/exchange.hpp"
+#include "dns/dns.hpp"
 #include "engine/service.hpp"
 #include "resp/resp.hpp"
 
@@ -25,21 +27,10 @@
     return pages;
 }
 
-void put_number(std::string& to, std::uint64_t value, int bytes) {
-    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
-        to.push_back(static_cast<char>(value >> shift & 0xff));
-}
-std::string labels(std::string_view name) {
-    std::string out;
-    for (const auto label : split(name, '.')) {
-        out.push_back(static_cast<char>(label.size()));
-        out.append(label);
-    }
-    return out + '\0';
-}
 std::string record_of(const std::string& owner, int type, const std::string& data) {
     std::string out = owner;
-    put_number(out, static_cast<unsigned>(type), 2), put_number(out, 1, 2), put_number(out, 5, 4), put_number(out, data.size(), 2);
+    put_big_endian(out, static_cast<unsigned>(type), 2), put_big_endian(out, 1, 2), put_big_endian(out, 5, 4),
+        put_big_endian(out, data.size(), 2);
     return out + data;
 }
 
@@ -61,7 +52,7 @@
         std::vector<std::string_view> words;
         std::size_t size = 0;
         const std::weak_ptr<char> here = engine.alive_;
-        while (!over && !engine.faults_.deaf) {
+        while (!over) {
             const auto reading = resp::read_array(in.view(), kCommand, words, size);
             if (reading == resp::Reading::none) return;
             if (reading == resp::Reading::spoilt) {
@@ -113,12 +104,6 @@
     return listeners_.back()->address();
 }
 
-void PlatformEngine::set(const PlatformFaults& faults) {
-    faults_ = faults;
-    for (const auto& c : connections_)
-        if (!c->over) c->stream->read(!faults.deaf);
-}
-
 void PlatformEngine::die() {
     alive_ = std::make_shared<char>();
     listeners_.clear();
@@ -134,14 +119,6 @@
     return n;
 }
 
-std::set<std::string> PlatformEngine::open_ids(const std::string& front) const {
-    std::set<std::string> ids;
-    for (const auto& c : connections_)
-        for (const auto& [id, run] : c->open)
-            if (c->front == front) ids.insert(id);
-    return ids;
-}
-
 void PlatformEngine::record(const std::string& event, const std::string& front, const std::string& id) {
     engine::Entry e;
     e.at = loop_.now(), e.event = event, e.trace = id, e.front = front;
@@ -149,7 +126,7 @@
 }
 
 void PlatformEngine::say(Connection& c, std::string bytes) {
-    if (!c.over && !c.dumb && !faults_.deaf) c.stream->send(std::move(bytes));
+    if (!c.over && !c.dumb) c.stream->send(std::move(bytes));
 }
 
 void PlatformEngine::take(Connection& c, const std::vector<std::string_view>& words) {
@@ -180,17 +157,12 @@
         }
         return;
     }
-    std::vector<std::pair<std::string_view, std::string_view>> fields;
-    const bool readable = words.size() == 4 && decide::read_fields(words[2], fields);
-    const auto field = [&](std::string_view name) -> std::string_view {
-        for (const auto& [key, value] : fields)
-            if (key == name) return value;
-        return {};
-    };
-    const auto ms = to_number<std::int64_t>(field("ms"));
+    decide::AnswerFields fields;
+    const bool readable = words.size() == 4 && fields.read(words[2]);
+    const auto ms = to_number<std::int64_t>(fields.find("ms"));
     const auto hints = readable ? engine::read_hints(words[3]) : Result<engine::Hints>(Error{"no statement"});
-    const auto level = field("level").empty() ? 1 : to_number<int>(field("level")).value_or(-1);
-    if (!readable || field("kind").empty() || !ms || *ms < 1 || level < 0 || level > 3 || !hints ||
+    const auto level = fields.find("level").empty() ? 1 : to_number<int>(fields.find("level")).value_or(-1);
+    if (!readable || fields.find("kind").empty() || !ms || *ms < 1 || level < 0 || level > 3 || !hints ||
         c.open.contains(id)) {
         unusable_.push_back("do " + id + " " + std::string(words.size() > 2 ? words[2] : ""));
         return say(c, resp::array({id, "FAULT", "-", "unusable"}));
@@ -342,33 +314,34 @@
         if (at == e.address.end()) continue;
         ++count;
         states += (states.empty() ? "" : ",") + name + (e.draining ? "=fading" : "=on");
-        const std::string target = labels(name + "." + e.zone + ".hosts");
+        const std::string target = dns::encoded_name(name + "." + e.zone + ".hosts");
         std::string srv;
-        put_number(srv, e.draining ? 1 : 0, 2), put_number(srv, 10, 2), put_number(srv, at->second.port, 2);
+        put_big_endian(srv, e.draining ? 1 : 0, 2), put_big_endian(srv, 10, 2),
+            put_big_endian(srv, at->second.port, 2);
         services += record_of(std::string("\xc0\x0c", 2), 33, srv + target);
         std::string address;
         for (const auto part : split(at->second.host, '.'))
-            put_number(address, to_number<std::uint64_t>(part).value_or(0), 1);
+            put_big_endian(address, to_number<std::uint64_t>(part).value_or(0), 1);
         around += record_of(target, 1, address);
         std::string text;
         for (const std::string& t : {"kind=" + e.kind, "cell=" + std::to_string(e.cell),
                                      "started=" + std::to_string(e.started_ms)}) {
-            put_number(text, t.size(), 1);
+            put_big_endian(text, t.size(), 1);
             text += t;
         }
         around += record_of(target, 16, text);
     }
-    std::string soa = labels("ns") + labels("admin");
-    put_number(soa, old ? number_ - 1 : number_, 4);
-    for (int i = 0; i < 4; ++i) put_number(soa, 1, 4);
+    std::string soa = dns::encoded_name("ns") + dns::encoded_name("admin");
+    put_big_endian(soa, old ? number_ - 1 : number_, 4);
+    for (int i = 0; i < 4; ++i) put_big_endian(soa, 1, 4);
     const bool failure = random_.chance(faults_.failure), foreign = random_.chance(faults_.foreign);
     std::string m;
-    put_number(m, static_cast<unsigned char>(question[0]), 1);
-    put_number(m, static_cast<unsigned char>(question[1]) ^ (foreign ? 1u : 0u), 1);
-    put_number(m, failure ? 0x8402 : 0x8400, 2);
+    put_big_endian(m, static_cast<unsigned char>(question[0]), 1);
+    put_big_endian(m, static_cast<unsigned char>(question[1]) ^ (foreign ? 1u : 0u), 1);
+    put_big_endian(m, failure ? 0x8402 : 0x8400, 2);
     for (const std::uint64_t n :
          {std::uint64_t{1}, failure ? 0 : count, std::uint64_t{1}, failure ? 0 : 2 * count})
-        put_number(m, n, 2);
+        put_big_endian(m, n, 2);
     m.append(question.substr(12));
     if (!failure) m += services;
     m += record_of(std::string("\xc0\x0c", 2), 6, soa);
@@ -407,10 +380,7 @@
                           {"patience", std::to_string(a.patience / kMillisecond)},
                           {"customer", a.tenant}};
     if (!a.nonce.empty()) fields["nonce"] = a.nonce;
-    thrift::Writer w(thrift::MessageType::call, "process", seq);
-    w.field(thrift::Type::map, 1), w.fields(fields);
-    w.field(thrift::Type::string, 2), w.string(a.sql), w.stop();
-    stream_->send(w.frame());
+    stream_->send(thrift::process_call(seq, fields, a.sql));
     record("asked", a);
     record("taken", a);  // once its last byte is written
     open_[seq] = {a, loop_.after(a.patience + a.grace, [this, seq] {
@@ -426,16 +396,10 @@
     record("left", found->second.ask);
     loop_.cancel(found->second.patience);
     open_.erase(found);
-    thrift::Writer w(thrift::MessageType::oneway, "giveUp", ++last_);
-    w.field(thrift::Type::i32, 1), w.i32(seq), w.stop();
-    stream_->send(w.frame());
+    stream_->send(thrift::give_up_call(++last_, seq));
 }
 
-void PlatformClient::probe() {
-    thrift::Writer w(thrift::MessageType::call, "probe", ++last_);
-    w.field(thrift::Type::boolean, 1), w.boolean(false), w.stop();
-    stream_->send(w.frame());
-}
+void PlatformClient::probe() { stream_->send(thrift::probe_call(++last_)); }
 
 void PlatformClient::on_data(Buffer& in) {
     std::string_view frame;
@@ -470,7 +434,6 @@
         std::int16_t inner = 0;
         for (auto t = r.field(inner); r.ok() && t != thrift::Type::stop; t = r.field(inner)) {
             if (t == thrift::Type::string) got.body = r.string();
-            else if (t == thrift::Type::map) got.fields = r.fields(64);
             else r.skip(t);
         }
         if (method == "probe") ready_ = r.ok();
--- a/src/lab/platform.hpp
+++ b/src/lab/platform.hpp
@@ -9,7 +9,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "base/random.hpp"
@@ -27,7 +26,6 @@
     double silent = 0;     // of answers that never come
     double doubled = 0;    // of answers sent twice, with one under an unknown id ahead
     double lost_page = 0;  // of further pages answered FAULT
-    bool deaf = false;     // reads nothing more: a machine that vanished
 };
 
 struct PlatformEngineSettings {
@@ -44,12 +42,11 @@
     PlatformEngine(net::Loop& loop, PlatformEngineSettings settings, Records& records);
     ~PlatformEngine();
     Result<net::Address> listen(const std::string& front, const net::Address& at);
-    void set(const PlatformFaults& faults);
+    void set(const PlatformFaults& faults) { faults_ = faults; }
     // Its process ends: connections break, listeners close, nothing of it is left.
     void die();
     const std::string& name() const { return settings_.name; }
-    std::size_t open() const;  // requests out by its sockets
-    std::set<std::string> open_ids(const std::string& front) const;
+    std::size_t open() const;                                               // requests out by its sockets
     const std::vector<std::string>& unusable() const { return unusable_; }  // requests no front may send
     std::vector<std::string> commands;  // other than `do`, as they came: "undo ID", "bump ID 2"
 
@@ -126,7 +123,6 @@
     struct Got {
         std::string how;  // served, refused, failed
         std::string body;
-        thrift::Fields fields;
     };
     PlatformClient(net::Loop& loop, std::string front, const net::Address& to, Records& records);
     ~PlatformClient() override;
--- a/src/net/poll_loop.cpp
+++ b/src/net/poll_loop.cpp
@@ -63,6 +63,13 @@
     return a;
 }
 
+Address bound_to(int fd, const Address& asked) {  // with the port that the kernel chose
+    sockaddr_storage got{};
+    socklen_t size = sizeof got;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&got), &size);
+    return from_kernel(got, asked);
+}
+
 int open_socket(const Address& a, int type = SOCK_STREAM) {
     const int family = a.family == Address::Family::local  ? AF_UNIX
                        : a.family == Address::Family::ipv6 ? AF_INET6
@@ -235,7 +242,7 @@
             // What was sent along with the connection is there as a rule, and waited as long as it did.
             if (socket->fd >= 0 && socket->owner) socket->read_in();
         }
-        loop.behind_ = accepting;  // more may wait, since as long ago
+        if (accepting) loop.behind_ = true;  // more may wait, since as long ago
     }
     void rest() {
         loop.want(*this, 0);
@@ -386,11 +393,8 @@
     if (at.family == Address::Family::ipv6) setsockopt(fd, IPPROTO_IPV6, IPV6_V6ONLY, &on, sizeof on);
     if (::bind(fd, to.get(), to.size) != 0) return failed("bind", fd);
     if (::listen(fd, 4096) != 0) return failed("listen", fd);
-    sockaddr_storage got{};
-    socklen_t size = sizeof got;
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&got), &size);
     auto door = std::make_shared<Door>(*this, fd);
-    door->address = from_kernel(got, at);
+    door->address = bound_to(fd, at);
     door->accepted = std::move(accepted);
     watch(door, POLLIN);
     return std::unique_ptr<Listener>(std::make_unique<DoorListener>(std::move(door)));
@@ -429,11 +433,8 @@
         if (fd >= 0) ::close(fd);
         return Error{text};
     }
-    sockaddr_storage got{};
-    socklen_t size = sizeof got;
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&got), &size);
     auto post = std::make_shared<Post>(*this, fd);
-    post->address = from_kernel(got, at);
+    post->address = bound_to(fd, at);
     post->received = std::move(received);
     watch(post, POLLIN);
     return std::unique_ptr<Datagrams>(std::make_unique<PostDatagrams>(std::move(post)));
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -55,10 +55,7 @@
                 stream->send(thrift::answer(call.method, call.seq, {}));
                 return;
             case What::give_up:
-                if (numbers.end(call.given_up)) {
-                    facts.open = numbers.open();
-                    clients.events_.given_up(id, call.given_up);
-                }
+                if (numbers.end(call.given_up)) clients.events_.given_up(id, call.given_up);
                 return;
             case What::unknown:
                 stream->send(thrift::exception(call.method, call.seq, thrift::Fault::unknown_method,
@@ -75,17 +72,22 @@
                     call.seq, thrift::Fault::protocol,
                     "more than " + std::to_string(decide::ClientNumbers::kOpenMost) + " open requests");
         }
-        facts.open = numbers.open();
         const Micros unseen = std::max(clients.loop_.unseen(), facts.served ? 0 : waited);
         facts.served = true;
         clients.events_.request(id, std::move(call), unseen);
     }
 
+    decide::ClientFacts facts_now() const {
+        auto now = facts;
+        now.open = numbers.open();
+        return now;
+    }
+
     // Its other requests are nobody's from here on: no answer on this connection could be trusted.
     void close_with(std::int32_t seq, thrift::Fault fault, const std::string& why) {
         ++clients.counters_.malformed;
         facts.closing = true, facts.closing_since = clients.loop_.now();
-        facts.open = 0, facts.half_since = 0;
+        facts.half_since = 0;
         stream->send(thrift::exception("process", seq, fault, why));
         for (const auto left : numbers.end_all()) clients.events_.given_up(id, left);
     }
@@ -93,7 +95,7 @@
     Clients& clients;
     Id id;
     std::unique_ptr<net::Stream> stream;
-    decide::ClientFacts facts;
+    decide::ClientFacts facts;  // but for those open, which `numbers` knows
     decide::ClientNumbers numbers;
     Micros waited = 0;  // in the kernel's queue, at most
     std::shared_ptr<char> alive = std::make_shared<char>();
@@ -116,7 +118,7 @@
 
 void Clients::accepted(std::unique_ptr<net::Stream> stream) {
     ++counters_.accepted;
-    if (connections_.size() >= bounds_.clients) make_room();
+    make_room();
     const Id id = ++last_;
     auto& c =
         connections_.emplace(id, std::make_unique<Connection>(*this, id, std::move(stream))).first->second;
@@ -140,7 +142,7 @@
 bool Clients::close_one() {
     std::vector<decide::ClientFacts> facts;
     std::vector<Id> ids;
-    for (const auto& [id, c] : connections_) facts.push_back(c->facts), ids.push_back(id);
+    for (const auto& [id, c] : connections_) facts.push_back(c->facts_now()), ids.push_back(id);
     const auto leaves = decide::makes_room(facts);
     const Micros now = loop_.now();
     const Micros at = leaves ? decide::may_leave_at(facts[*leaves], times_) : now + times_.to_speak;
@@ -164,7 +166,6 @@
     const auto found = connections_.find(id);
     if (found == connections_.end() || !found->second->numbers.end(seq)) return;
     Connection& c = *found->second;
-    c.facts.open = c.numbers.open();
     c.facts.last_active = loop_.now();
     c.stream->send(std::move(frame));
     if (c.stream->unsent() > bounds_.unsent_bytes) drop(id);
@@ -182,7 +183,7 @@
     timer_ = loop_.after(kSweep, [this] { sweep(); });
     std::vector<Id> late;
     for (const auto& [id, c] : connections_)
-        if (decide::overdue(c->facts, loop_.now(), times_)) late.push_back(id);
+        if (decide::overdue(c->facts_now(), loop_.now(), times_)) late.push_back(id);
     for (const Id id : late) {
         ++counters_.overdue;
         drop(id);
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -1,12 +1,11 @@
 #include "node/config.hpp"
 
 #include <algorithm>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <stdexcept>
 
 #include "base/text.hpp"
+#include "config/settings.hpp"
 #include "platform/settings.hpp"
 
 namespace gatetiller::node {
@@ -113,11 +112,8 @@
 }
 
 Result<NodeSettings> load_config(const std::string& file) {
-    std::ifstream in(file, std::ios::binary);
-    std::ostringstream text;
-    if (in) text << in.rdbuf();
-    if (!in) return Error{"configuration: " + file + " cannot be read"};
-    return read_config(text.str());
+    const auto text = config::whole_file(file);
+    return text ? read_config(*text) : Error{"configuration: " + text.error()};
 }
 
 }  // namespace gatetiller::node
--- a/src/node/engine_link.cpp
+++ b/src/node/engine_link.cpp
@@ -33,7 +33,6 @@
     Connection(EngineLink& l) : link(l), used(l.loop_.now()) { ++link.pool_.open; }
     ~Connection() override { --link.pool_.open; }
 
-    void on_connected() override { up = true; }
     void on_data(Buffer& in) override {
         const std::weak_ptr<char> here = alive;
         std::vector<std::string_view> words;
@@ -59,22 +58,16 @@
     bool take(const std::string& id, const std::string& word, const std::string& text,
               const std::string& body) {
         if (word == "PONG") return true;
-        std::vector<std::pair<std::string_view, std::string_view>> fields;
-        if (!decide::read_fields(text, fields)) return spoil("fields that can't be read"), false;
-        const auto field = [&](std::string_view name) -> std::string_view {
-            for (const auto& [key, value] : fields)
-                if (key == name) return value;
-            return {};
-        };
+        decide::AnswerFields fields;
+        if (!fields.read(text)) return spoil("fields that can't be read"), false;
         const auto found = open.find(id);
         if (found == open.end()) return ++link.pool_.unasked, true;
         Exchange& e = *found->second;
         ExchangeEnd end;
-        end.report = report_of(field("gauges"));
-        if (end.report) report = end.report;
+        end.report = report_of(fields.find("gauges"));
         if (word == "INFO") {
-            const auto value = to_number<double>(field("amount"));
-            const auto note = field("res");
+            const auto value = to_number<double>(fields.find("amount"));
+            const auto note = fields.find("res");
             if (!value) return true;  // no note in it
             const std::weak_ptr<char> here = alive;
             if (note == "so_far") e.events_.on_note(NoteTopic::progress, *value);
@@ -84,15 +77,15 @@
         }
         if (word == "HIT") {
             if (e.pages_.begun()) return ++link.pool_.unasked, true;
-            const auto pages = to_number<std::size_t>(field("chunks"));
+            const auto pages = to_number<std::size_t>(fields.find("chunks"));
             if (!e.pages_.begin(pages.value_or(1), body)) return spoil("a page that can't be read"), false;
-            e.work_ms_ = to_number<double>(field("spent")).value_or(0);
-            e.needed_mb_ = to_number<double>(field("wanted")).value_or(0);
-            e.report_ = end.report;
+            e.served_.work_ms = to_number<double>(fields.find("spent")).value_or(0);
+            e.served_.needed_mb = to_number<double>(fields.find("wanted")).value_or(0);
+            e.served_.report = end.report;
             for (std::size_t n = 1; n < e.pages_.pages(); ++n)
                 stream->send(resp::array({"page", id, std::to_string(n)}));
         } else if (word == "PART") {
-            switch (e.pages_.take(to_number<std::size_t>(field("at")).value_or(0), body)) {
+            switch (e.pages_.take(to_number<std::size_t>(fields.find("at")).value_or(0), body)) {
                 case decide::ResultPages::Took::page: break;
                 case decide::ResultPages::Took::not_asked: return ++link.pool_.unasked, true;
                 case decide::ResultPages::Took::spoilt: return spoil("a page that can't be read"), false;
@@ -106,10 +99,9 @@
             return spoil("an answer of an unknown kind"), false;
         }
         if (!e.pages_.whole()) return true;
-        end.how = How::served;
-        end.rows = e.pages_.rows();
-        end.work_ms = e.work_ms_, end.needed_mb = e.needed_mb_, end.report = e.report_;
-        return finish(e, std::move(end));
+        e.served_.how = How::served;
+        e.served_.rows = e.pages_.rows();
+        return finish(e, std::move(e.served_));
     }
 
     decide::LinkFacts facts(const std::string& id) const {
@@ -141,11 +133,9 @@
         stream.reset();
         const auto ended = std::exchange(open, {});
         for (const auto& [id, e] : ended) e->on_ = nullptr;
-        const std::weak_ptr<char> here = alive;
-        auto* const owner = &link;
         std::vector<Events*> told;
         for (const auto& [id, e] : ended) told.push_back(&e->events_);
-        owner->over(*this);  // `this` is no more: only what was copied counts from here
+        link.over(*this);  // `this` is no more: only what was copied counts from here
         for (Events* events : told) {
             ExchangeEnd end;
             end.how = how, end.why = why;
@@ -157,17 +147,15 @@
     std::unique_ptr<net::Stream> stream;
     std::map<std::string, Exchange*> open;
     std::set<std::string> ids;  // ever asked here: a second attempt under one of them goes elsewhere
-    std::optional<Report> report;
     Micros used;
-    bool up = false, retired = false;
+    bool retired = false;
     std::shared_ptr<char> alive = std::make_shared<char>();
 };
 
 Exchange::~Exchange() {
     if (!on_) return;
     Connection& c = *on_;
-    const bool whole_left = pages_.begun();
-    if (c.stream) c.stream->send(resp::array({whole_left ? "forget" : "undo", id_}));
+    if (c.stream) c.stream->send(resp::array({pages_.begun() ? "forget" : "undo", id_}));
     c.release(*this);
     // Whatever still comes under this id must not count for another attempt, and one whose answer never comes
     // serves no further use.
--- a/src/node/engine_link.hpp
+++ b/src/node/engine_link.hpp
@@ -1,6 +1,5 @@
-// The connections to one engine, and the requests out on them. A connection carries one request where there
-// are connections enough, since whatever breaks one breaks all that is open on it; past their number they are
-// shared.
+// The connections to one engine, and the requests out on them. Which connection a request goes out on is
+// decided in decide/engine_connections.hpp.
 #pragma once
 
 #include <functional>
@@ -50,8 +49,7 @@
     Events& events_;
     Connection* on_ = nullptr;  // none: it is over
     decide::ResultPages pages_;
-    double work_ms_ = 0, needed_mb_ = 0;  // as its first answer told
-    std::optional<Report> report_;
+    decide::ExchangeEnd served_;  // as its first answer told; good once every page is there
 };
 
 class EngineLink {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "base/overloaded.hpp"
+#include "decide/attempt_end.hpp"
 #include "decide/patience.hpp"
 #include "decide/table_group.hpp"
 
@@ -17,10 +18,15 @@
 constexpr Micros kAnswerReserve = 5 * kMillisecond;  // for an answer's way to its client
 constexpr Micros kTick = kSecondMicros;
 constexpr int kStatusTicks = 5;
-constexpr const char* kOutcomes[] = {"done",         "err",        "busy",      "etimedout",
-                                     "econnrefused", "econnreset", "ecanceled", "skipped"};
 constexpr Micros kDrainLook = 20 * kMillisecond;
 
+// A refusal, with when to come back where there is something to say.
+std::string refusal(std::int32_t seq, Micros come_back) {
+    thrift::Fields hint;
+    if (come_back > 0) hint["pause"] = std::to_string(std::max<Micros>(1, come_back / kMillisecond));
+    return thrift::rejected(seq, hint);
+}
+
 }  // namespace
 
 struct Node::Attempt final : Exchange::Events {
@@ -38,7 +44,7 @@
     net::TimerId timer = 0;
     Micros noted = 0;  // when its last note came; for the log
     int notes = 0;
-    bool over = false;
+    bool out = false, over = false;  // out: it is the one that the request's life counts
     std::unique_ptr<Exchange> exchange;
 };
 
@@ -169,19 +175,14 @@
         return turned_away("malformed", thrift::exception("process", call.seq, thrift::Fault::invalid_type,
                                                           checked.error()));
     }
-    const auto full = [&] {
-        thrift::Fields hint;
-        if (settings_.module.retry_hints)
-            hint["pause"] = std::to_string(settings_.module.max_retry_after / kMillisecond);
-        return thrift::rejected(call.seq, hint);
-    };
+    const Micros pause = settings_.module.retry_hints ? settings_.module.max_retry_after : 0;
     const decide::NodeHolding holding{running_.size(), statement_bytes_, running_.contains(checked->id),
                                       draining_since_ > 0 ? loop_.now() - draining_since_ : 0};
     switch (decide::admit(holding, call.body.size(), bounds_, restart_)) {
         case decide::NodeAdmission::taken: break;
-        case decide::NodeAdmission::twice: return turned_away("twice", full());
-        case decide::NodeAdmission::no_room: return turned_away("no_room", full());
-        case decide::NodeAdmission::ending: return turned_away("ending", thrift::rejected(call.seq, {}));
+        case decide::NodeAdmission::twice: return turned_away("twice", refusal(call.seq, pause));
+        case decide::NodeAdmission::no_room: return turned_away("no_room", refusal(call.seq, pause));
+        case decide::NodeAdmission::ending: return turned_away("ending", refusal(call.seq, 0));
     }
     const Micros left = decide::time_left(checked->patience, unseen, kAnswerReserve);
     auto r = std::make_unique<Running>();
@@ -231,9 +232,7 @@
 }
 
 void Node::refuse(Running& r, Micros come_back, const char* how) {
-    thrift::Fields hint;
-    if (come_back > 0) hint["pause"] = std::to_string(std::max<Micros>(1, come_back / kMillisecond));
-    finish(r, thrift::rejected(r.seq, hint), how);
+    finish(r, refusal(r.seq, come_back), how);
 }
 
 // Not at once: the calls that led here still stand on the request.
@@ -294,7 +293,8 @@
     Attempt& a = *r->attempts.back();
     const auto found = engines_.find(action.engine);
     if (found != engines_.end()) ++found->second.out;
-    if (!r->life.take(Happening::sent)) return complete(a, Outcome::skipped, r->life.finished());
+    a.out = r->life.take(Happening::sent);
+    if (!a.out) return complete(a, Outcome::skipped, r->life.finished());
     if (found == engines_.end() || !found->second.link) return complete(a, Outcome::econnrefused, false);
     const Micros until = r->deadline - a.sent;
     const Micros limit = action.time_out > 0 ? std::min(action.time_out, until) : until;
@@ -316,8 +316,8 @@
     loop_.cancel(std::exchange(a.timer, 0));
     a.exchange.reset();  // gives it up at the engine, where it is not over
     Running& r = a.running;
-    if (outcome != Outcome::skipped || r.out() == &a) r.life.take(Happening::attempt_over);
-    r.may_have_run = r.may_have_run || !decide::never_ran(outcome);
+    if (a.out) r.life.take(Happening::attempt_over);
+    r.may_have_run = r.may_have_run || !never_ran(outcome);
     if (const auto found = engines_.find(a.engine); found != engines_.end()) --found->second.out;
     Completed c{r.id, a.number, a.engine, outcome, loop_.now() - a.sent, finished, 0, 0, std::nullopt};
     if (end) {
@@ -328,7 +328,7 @@
     if (deps_.trace && outcome != Outcome::done) {
         deps_.trace(
             r.id + " " + r.cls->name + " attempt " + std::to_string(a.number) + " at " + name_of(a.engine) +
-            " " + kOutcomes[static_cast<int>(outcome)] + " ms=" + std::to_string(c.taken / kMillisecond) +
+            " " + decide::name_of(outcome) + " ms=" + std::to_string(c.taken / kMillisecond) +
             " notes=" + std::to_string(a.notes) +
             (a.notes > 0 ? " last_note_ms=" + std::to_string((a.noted - a.sent) / kMillisecond) : "") +
             (end ? " " + end->why : ""));
@@ -343,7 +343,6 @@
     const Outcome outcome = decide::outcome_of(end.how);
     if (end.how != How::served || r.life.finished()) return complete(a, outcome, r.life.finished(), &end);
     std::string frame = thrift::answer("process", r.seq, end.rows);
-    r.life.take(Happening::attempt_over);
     finish(r, std::move(frame), "served");
     complete(a, outcome, true, &end);
 }
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -216,9 +216,6 @@
 bool holds(const std::optional<std::vector<std::string>>& list, const std::string& name) {
     return !list || std::find(list->begin(), list->end(), name) != list->end();
 }
-bool never_ran(Outcome o) {
-    return o == Outcome::busy || o == Outcome::econnrefused || o == Outcome::skipped;
-}
 void approach(double& value, double seen, double step = kSmooth) { value += step * (seen - value); }
 
 }  // namespace
@@ -594,9 +591,9 @@
     }
 
     bool has_room(const Engine& e, const Request& r) {
-        // Jammed: work that no front counts any more runs on there, left by time-outs or by a dead front.
         const auto turned = e.turns_away.find(r.cls);
         if (turned != e.turns_away.end() && now < turned->second) return false;
+        // Jammed: work that no front counts any more runs on there, left by time-outs or by a dead front.
         if (now < e.full_until || reported(e) * usual.threads > kJam * e.cores) return false;
         const double elsewhere = others(e);  // a guess if nothing was heard, which must not fill memory
         const double taken_mb = e.granted + (heard_lately() ? kReckoned * elsewhere * usual.memory : 0);
--- a/src/policy/brain.hpp
+++ b/src/policy/brain.hpp
@@ -113,6 +113,10 @@
 };
 
 enum class Outcome { done, err, busy, etimedout, econnrefused, econnreset, ecanceled, skipped };
+// Whether an attempt that ended so is proved not to have run.
+constexpr bool never_ran(Outcome o) {
+    return o == Outcome::busy || o == Outcome::econnrefused || o == Outcome::skipped;
+}
 enum class ListForm { incr, total, warm_copy, lost };
 
 struct ListChange {
--- a/src/roster/dns_source.cpp
+++ b/src/roster/dns_source.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/bytes.hpp"
 #include "base/text.hpp"
 #include "dns/dns.hpp"
 
@@ -74,8 +75,7 @@
 
 void DnsSource::took(const net::Address& from, std::string_view bytes) {
     if (from != service_ || bytes.size() < 2) return;
-    const auto id = static_cast<std::uint16_t>(static_cast<unsigned char>(bytes[0]) << 8 |
-                                               static_cast<unsigned char>(bytes[1]));
+    const auto id = static_cast<std::uint16_t>(big_endian(bytes.substr(0, 2)));
     const auto asked = std::find(asked_.begin(), asked_.end(), id);
     if (asked == asked_.end()) return events_.bad("an answer under an id not asked with");
     const auto answer = dns::read_answer(bytes, id, name_);
--- a/src/thrift/binary.cpp
+++ b/src/thrift/binary.cpp
@@ -1,22 +1,13 @@
 #include "thrift/binary.hpp"
 
+#include "base/bytes.hpp"
+
 namespace gatetiller::thrift {
 namespace {
 
 constexpr std::uint32_t kVersion = 0x80010000;
 constexpr int kDepth = 8;  // of structs and containers within each other
 
-std::uint32_t big_endian(std::string_view bytes) {
-    std::uint32_t value = 0;
-    for (const char c : bytes) value = value << 8 | static_cast<unsigned char>(c);
-    return value;
-}
-
-void put(std::string& to, std::uint32_t value, int bytes) {
-    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
-        to.push_back(static_cast<char>(value >> shift & 0xff));
-}
-
 }  // namespace
 
 std::string_view Reader::raw(std::size_t n) {
@@ -91,7 +82,7 @@
 }
 
 Writer::Writer(MessageType type, std::string_view method, std::int32_t seq) : bytes_(kFrameHead, '\0') {
-    put(bytes_, kVersion | static_cast<std::uint32_t>(type), 4);
+    put_big_endian(bytes_, kVersion | static_cast<std::uint32_t>(type), 4);
     string(method);
     i32(seq);
 }
@@ -100,8 +91,8 @@
     bytes_.push_back(static_cast<char>(type));
     i16(id);
 }
-void Writer::i16(std::int16_t value) { put(bytes_, static_cast<std::uint16_t>(value), 2); }
-void Writer::i32(std::int32_t value) { put(bytes_, static_cast<std::uint32_t>(value), 4); }
+void Writer::i16(std::int16_t value) { put_big_endian(bytes_, static_cast<std::uint16_t>(value), 2); }
+void Writer::i32(std::int32_t value) { put_big_endian(bytes_, static_cast<std::uint32_t>(value), 4); }
 void Writer::string(std::string_view text) {
     i32(static_cast<std::int32_t>(text.size()));
     bytes_.append(text);
@@ -115,7 +106,7 @@
 
 std::string Writer::frame() {
     std::string head;
-    put(head, static_cast<std::uint32_t>(bytes_.size() - kFrameHead), 4);
+    put_big_endian(head, static_cast<std::uint32_t>(bytes_.size() - kFrameHead), 4);
     bytes_.replace(0, kFrameHead, head);
     return std::move(bytes_);
 }
--- a/src/thrift/service.cpp
+++ b/src/thrift/service.cpp
@@ -45,6 +45,25 @@
     return call;
 }
 
+std::string process_call(std::int32_t seq, const Fields& fields, std::string_view body) {
+    Writer w(MessageType::call, "process", seq);
+    w.field(Type::map, 1), w.fields(fields);
+    w.field(Type::string, 2), w.string(body), w.stop();
+    return w.frame();
+}
+
+std::string give_up_call(std::int32_t seq, std::int32_t given_up) {
+    Writer w(MessageType::oneway, "giveUp", seq);
+    w.field(Type::i32, 1), w.i32(given_up), w.stop();
+    return w.frame();
+}
+
+std::string probe_call(std::int32_t seq) {
+    Writer w(MessageType::call, "probe", seq);
+    w.field(Type::boolean, 1), w.boolean(false), w.stop();
+    return w.frame();
+}
+
 std::string answer(std::string_view method, std::int32_t seq, std::string_view body) {
     Writer w(MessageType::reply, method, seq);
     w.field(Type::structure, 0);
--- a/src/thrift/service.hpp
+++ b/src/thrift/service.hpp
@@ -18,7 +18,12 @@
 // One frame. An error says what can't be read; the connection is of no further use then.
 Result<Call> read_call(std::string_view frame);
 
-// Whole frames.
+// What a client sends, as whole frames.
+std::string process_call(std::int32_t seq, const Fields& fields, std::string_view body);
+std::string give_up_call(std::int32_t seq, std::int32_t given_up);
+std::string probe_call(std::int32_t seq);
+
+// What it is answered, as whole frames.
 // Served (`process`), or ready (`probe`).
 std::string answer(std::string_view method, std::int32_t seq, std::string_view body);
 std::string rejected(std::int32_t seq, const Fields& fields);
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -159,10 +159,7 @@
     start();
     auto whole = ask();
     const auto frame = [](const Fields& fields, const std::string& body, std::int32_t seq) {
-        thrift::Writer w(thrift::MessageType::call, "process", seq);
-        w.field(thrift::Type::map, 1), w.fields(fields);
-        w.field(thrift::Type::string, 2), w.string(body), w.stop();
-        return w.frame();
+        return thrift::process_call(seq, fields, body);
     };
     const Fields good{
         {"route", "lookup"}, {"trace", "9b1f03aa5c7e2d41"}, {"customer", "acme"}, {"patience", "1500"}};
--- a/tests/thrift/thrift_test.cpp
+++ b/tests/thrift/thrift_test.cpp
@@ -7,12 +7,6 @@
 namespace gatetiller::thrift {
 namespace {
 
-std::string process_call(std::int32_t seq, const Fields& fields, std::string_view body) {
-    Writer w(MessageType::call, "process", seq);
-    w.field(Type::map, 1), w.fields(fields);
-    w.field(Type::string, 2), w.string(body), w.stop();
-    return w.frame();
-}
 std::string_view inside(const std::string& frame) { return std::string_view(frame).substr(kFrameHead); }
 
 TEST(Thrift, ACallIsReadAsItWasWritten) {
