Streams tell what the kernel has, take back the rest, and close gracefully

Stream: send() gives an id, written() says none, part or whole, take_back() takes out what has not begun, finish() half-closes and drops what still comes, read_now(). Listener: accept_all(). What was left over from the last turn is heard before the flush.

--- a/src/base/buffer.hpp
+++ b/src/base/buffer.hpp
@@ -28,6 +28,11 @@
         start_ += n;
         if (start_ == held_.size()) clear();
     }
+    void erase(std::size_t at, std::size_t n) {  // from the middle; views are no good any more
+        assert(at + n <= size());
+        held_.erase(start_ + at, n);
+        if (start_ == held_.size()) clear();
+    }
     void clear() {
         held_.clear();
         start_ = 0;
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -48,13 +48,26 @@
     virtual void on_closed(Closed how) = 0;  // the last call
 };
 
+using SendId = std::uint64_t;  // of what was given to one call of send(); they climb. 0: it was not kept
+enum class Written { nothing, part, whole };
+
 class Stream {
 public:
     virtual ~Stream() = default;
     virtual void events(StreamEvents& to) = 0;  // who is told; must outlive the stream
-    virtual void send(
-        std::string bytes) = 0;  // kept until the kernel takes it; look at unsent() for back-pressure
+    // Kept until the kernel takes it; look at unsent() for back-pressure.
+    virtual SendId send(std::string bytes) = 0;
     virtual std::size_t unsent() const = 0;  // bytes not yet taken by the kernel
+    // How much of it the kernel has taken. Once the stream has ended this is what can have arrived at most.
+    virtual Written written(SendId id) const = 0;
+    // Takes it out of the buffer where the kernel has none of it: then it never arrives. Whether that was so.
+    virtual bool take_back(SendId id) = 0;
+    // Graceful close: what was given to send() goes out, then this side is shut (half-close). What still comes
+    // is read and dropped, so that no reset takes away what the peer has not read yet; on_closed() once the
+    // peer has ended too. For how long that is waited for is the owner's affair.
+    virtual void finish() = 0;
+    // Hears now what has come already, instead of in the next turn. The stream may end in this.
+    virtual void read_now() = 0;
     // Off: bytes stay in the kernel's buffer and hold back the peer. An end of the connection is then noticed
     // only where the kernel tells of a reset.
     virtual void read(bool on) = 0;
@@ -66,8 +79,10 @@
 public:
     virtual ~Listener() = default;
     virtual const Address& address() const = 0;  // with the port that the kernel chose
-    // Off: who comes waits in the kernel's queue, unseen; whoever turns it on again reckons with that.
+    // Off: who comes waits in the listen backlog, unseen; whoever turns it on again reckons with that.
     virtual void accept(bool on) = 0;
+    // All that wait in the listen backlog, now: before the listener is destroyed, which would reset them.
+    virtual void accept_all() = 0;
 };
 
 // A socket for datagrams (UDP over IPv4 or IPv6). What can't be sent is lost without a word, as on the way.
--- a/src/net/poll_loop.cpp
+++ b/src/net/poll_loop.cpp
@@ -9,10 +9,12 @@
 #include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <cstring>
 #include <ctime>
+#include <optional>
 
 namespace gatetiller::net {
 namespace {
@@ -140,16 +142,31 @@
             if (error != 0) return end(Closed::reset);
             return loop.mute(*this);
         }
+        // To the end, where it is there: whoever has gone behind a request must be known to have gone before
+        // anything is sent on for it.
         char piece[kReadSize];
-        const ssize_t n = ::recv(fd, piece, sizeof piece, 0);
-        if (n > 0) {
-            in.append(std::string_view(piece, static_cast<std::size_t>(n)));
-            return deliver();
+        std::optional<Closed> ended;
+        std::size_t got = 0;
+        while (got < kReadSize && in.size() < loop.limits_.input && !ended) {
+            const ssize_t n = ::recv(fd, piece, sizeof piece, 0);
+            if (n > 0) {
+                in.append(std::string_view(piece, static_cast<std::size_t>(n)));
+                got += static_cast<std::size_t>(n);
+            } else if (n == 0) {
+                ended = was_reset ? Closed::reset : Closed::by_peer;
+            } else if (errno == EAGAIN) {
+                break;
+            } else if (errno != EINTR) {
+                ended = Closed::reset;
+                was_reset = true;  // the kernel tells it once
+            }
         }
-        if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
-        end(n == 0 ? Closed::by_peer : Closed::reset);
+        if (got > 0) deliver();
+        // An owner that has turned reading off in this hears of the end once it reads again.
+        if (ended && fd >= 0 && (reading || got == 0)) end(*ended);
     }
     void deliver() {
+        if (finishing) in.clear();
         if (!owner || in.empty()) return;
         owner->on_data(in);
         if (fd >= 0) loop.want(*this, wanted());
@@ -166,11 +183,41 @@
                 out.clear();
                 return loop.want(*this, wanted());
             }
-            out.take(static_cast<std::size_t>(n));
+            count_written(static_cast<std::size_t>(n));
         }
+        if (finishing && out.empty() && !std::exchange(shut, true)) ::shutdown(fd, SHUT_WR);
         loop.want(*this, wanted());
         if (out.empty() && owner) owner->on_sent();
     }
+    void count_written(std::size_t n) {
+        out.take(n);
+        auto at = pieces.begin();
+        for (; at != pieces.end() && n >= at->left; ++at) n -= at->left;
+        pieces.erase(pieces.begin(), at);
+        if (n > 0) pieces.front().left -= n, pieces.front().begun = true;
+    }
+    Written written(SendId id) const {
+        if (id == 0) return Written::nothing;
+        const auto at = piece(id);
+        if (at == pieces.end()) return Written::whole;
+        return at->begun ? Written::part : Written::nothing;
+    }
+    bool take_back(SendId id) {
+        if (written(id) != Written::nothing) return false;
+        if (id == 0) return true;
+        const auto at = piece(id);
+        std::size_t ahead = 0;
+        for (auto before = pieces.cbegin(); before != at; ++before) ahead += before->left;
+        if (!broken) out.erase(ahead, at->left);
+        pieces.erase(at);
+        return true;
+    }
+    void finish() {
+        if (fd < 0 || std::exchange(finishing, true)) return;
+        reading = true;
+        in.clear();
+        write_out();
+    }
     short wanted() const {
         if (connecting) return POLLOUT;
         const bool in_room = reading && in.size() < loop.limits_.input;
@@ -182,10 +229,22 @@
         if (StreamEvents* told = std::exchange(owner, nullptr)) told->on_closed(how);
     }
 
+    struct Piece {  // what one call of send() gave, as far as the kernel has not taken it
+        SendId id;
+        std::size_t left;
+        bool begun;
+    };
+    std::vector<Piece>::const_iterator piece(SendId id) const {
+        return std::find_if(pieces.begin(), pieces.end(), [&](const Piece& p) { return p.id == id; });
+    }
+
     StreamEvents* owner = nullptr;
     Buffer in, out;
+    std::vector<Piece> pieces;  // of `out`, in order; also of what was dropped where the stream broke
+    SendId last_send = 0;
     std::string peer;
     bool connecting = false, reading = true, flushing = false, offering = false, broken = false;
+    bool was_reset = false, finishing = false, shut = false;
     TimerId connect_timer = 0;
 };
 
@@ -200,12 +259,21 @@
         socket_->close();
     }
     void events(StreamEvents& to) override { socket_->owner = &to; }
-    void send(std::string bytes) override {
-        if (socket_->fd < 0 || socket_->broken || bytes.empty()) return;
+    SendId send(std::string bytes) override {
+        if (socket_->fd < 0 || socket_->broken || socket_->finishing || bytes.empty()) return 0;
+        socket_->pieces.push_back({++socket_->last_send, bytes.size(), false});
         socket_->out.append(std::move(bytes));
         if (!std::exchange(socket_->flushing, true)) socket_->loop.to_flush_.push_back(socket_);
+        return socket_->last_send;
     }
     std::size_t unsent() const override { return socket_->out.size(); }
+    Written written(SendId id) const override { return socket_->written(id); }
+    bool take_back(SendId id) override { return socket_->take_back(id); }
+    void finish() override { socket_->finish(); }
+    void read_now() override {
+        // The owner may destroy this stream in what it hears.
+        if (const auto kept = socket_; kept->fd >= 0 && !kept->connecting && kept->reading) kept->read_in();
+    }
     void read(bool on) override {
         if (socket_->reading == on) return;
         socket_->reading = on;
@@ -224,26 +292,32 @@
 struct PollLoop::Door final : Watched {
     using Watched::Watched;
     void on_ready(short) override {
-        for (int i = 0; i < loop.limits_.accepts && fd >= 0 && accepting; ++i) {
-            sockaddr_storage from{};
-            socklen_t size = sizeof from;
-            const int got =
-                ::accept4(fd, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
-            if (got < 0) {
-                if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) rest();
-                return;
-            }
-            no_delay(got);
-            auto socket = std::make_shared<Socket>(loop, got);
-            socket->peer =
-                address.family == Address::Family::local ? address.text() : from_kernel(from, address).text();
-            loop.watch(socket, POLLIN);
-            accepted(std::make_unique<SocketStream>(socket));
-            // What was sent along with the connection is there as a rule, and waited as long as it did.
-            if (socket->fd >= 0 && socket->owner) socket->read_in();
-        }
+        for (int i = 0; i < loop.limits_.accepts && fd >= 0 && accepting; ++i)
+            if (!accept_one()) return;
         if (accepting) loop.behind_ = true;  // more may wait, since as long ago
     }
+    bool accept_one() {
+        sockaddr_storage from{};
+        socklen_t size = sizeof from;
+        int got = -1;
+        do {
+            got = ::accept4(fd, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            // A connection that its peer has reset in the backlog is no reason to leave the others there.
+        } while (got < 0 && (errno == ECONNABORTED || errno == EINTR));
+        if (got < 0) {
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) rest();
+            return false;
+        }
+        no_delay(got);
+        auto socket = std::make_shared<Socket>(loop, got);
+        socket->peer =
+            address.family == Address::Family::local ? address.text() : from_kernel(from, address).text();
+        loop.watch(socket, POLLIN);
+        accepted(std::make_unique<SocketStream>(socket));
+        // What was sent along with the connection is there as a rule, and waited as long as it did.
+        if (socket->fd >= 0 && socket->owner) socket->read_in();
+        return true;
+    }
     void rest() {
         loop.want(*this, 0);
         resting = loop.after(kAcceptRest, [this] { loop.want(*this, accepting ? POLLIN : 0); });
@@ -269,6 +343,10 @@
         door_->accepting = on;
         if (door_->fd >= 0) door_->loop.want(*door_, on ? POLLIN : 0);
     }
+    void accept_all() override {
+        const auto kept = door_;  // the owner may destroy this listener in what it hears
+        while (kept->fd >= 0 && kept->accept_one()) {}
+    }
 
 private:
     std::shared_ptr<Door> door_;
@@ -472,6 +550,11 @@
 
 void PollLoop::turn(Micros longest) {
     const Micros before = now_;
+    // What was left over from the last turn may take back what waits to go out.
+    for (const auto& socket : std::exchange(to_offer_, {})) {
+        socket->offering = false;
+        if (socket->fd >= 0) socket->deliver();
+    }
     flush();
     Micros wait = to_flush_.empty() && to_offer_.empty() ? longest : 0;
     refresh();
@@ -490,10 +573,6 @@
     }
     // What has come is heard before any timer rings: after a stall of this process, an answer that is already
     // there must not lose against its time-out.
-    for (const auto& socket : std::exchange(to_offer_, {})) {
-        socket->offering = false;
-        if (socket->fd >= 0) socket->deliver();
-    }
     auto ready = std::exchange(ready_, {});
     for (const auto& [what, events] : ready)
         if (what->fd >= 0) what->on_ready(events);
--- a/src/net/tap.cpp
+++ b/src/net/tap.cpp
@@ -15,11 +15,16 @@
         owner_ = &to;
         below_->events(*this);
     }
-    void send(std::string bytes) override {
+    SendId send(std::string bytes) override {
         loop_.tell(number_, TapEvent::What::sent, peer_, bytes);
-        below_->send(std::move(bytes));
+        return below_->send(std::move(bytes));
     }
     std::size_t unsent() const override { return below_->unsent(); }
+    Written written(SendId id) const override { return below_->written(id); }
+    // What was told as sent stays so: the sink hears of no retreat.
+    bool take_back(SendId) override { return false; }
+    void finish() override { below_->finish(); }
+    void read_now() override { below_->read_now(); }
     void read(bool on) override { below_->read(on); }
     void offer() override { below_->offer(); }
     const std::string& peer() const override { return peer_; }
--- a/src/sim/virtual_loop.cpp
+++ b/src/sim/virtual_loop.cpp
@@ -13,9 +13,17 @@
 struct VirtualLoop::End final : std::enable_shared_from_this<End> {
     explicit End(VirtualLoop& l) : loop(l) {}
 
-    void send(std::string bytes) {
-        if (!open || bytes.empty()) return;
-        if (connecting) return void(early.append(bytes));
+    net::SendId send(std::string bytes) {
+        if (!open || finishing || bytes.empty()) return 0;
+        early.emplace_back(++last_send, std::move(bytes));
+        const net::SendId id = last_send;  // what goes out may lead to further sends
+        if (!connecting) go_out();
+        return id;
+    }
+    void go_out() {
+        for (auto& [id, bytes] : std::exchange(early, {})) go_out(std::move(bytes));
+    }
+    void go_out(std::string bytes) {
         const auto to = other.lock();
         if (!to) return;
         if (unsent == 0)
@@ -35,8 +43,26 @@
         last_arrival = std::max(last_arrival, loop.now_ + loop.delay());
         loop.after(last_arrival - loop.now_, std::move(what));
     }
+    bool take_back(net::SendId id) {
+        return id == 0 || std::erase_if(early, [&](const auto& kept) { return kept.first == id; }) > 0;
+    }
+    void finish() {
+        if (!open || std::exchange(finishing, true)) return;
+        reading = true;
+        in.clear();
+        say_end();
+    }
+    void say_end() {
+        const auto to = other.lock();
+        if (std::exchange(said_end, true) || !to || !to->open) return;
+        to->arriving([to] {
+            to->closing = Closed::by_peer;
+            to->deliver();
+        });
+    }
     void deliver() {
         if (!reading || !owner) return;
+        if (finishing) waiting.clear();
         if (!waiting.empty()) {
             in.append(std::exchange(waiting, {}));
             owner->on_data(in);
@@ -51,21 +77,19 @@
     void drop() {
         owner = nullptr;
         loop.cancel(std::exchange(connect_timer, 0));
-        if (!std::exchange(open, false)) return;
-        if (const auto to = other.lock())
-            to->arriving([to] {
-                to->closing = Closed::by_peer;
-                to->deliver();
-            });
+        open = false;
+        say_end();
     }
 
     VirtualLoop& loop;
     std::weak_ptr<End> other;
     net::StreamEvents* owner = nullptr;
     Buffer in;
-    std::string waiting, early, peer;
+    std::string waiting, peer;
+    std::vector<std::pair<net::SendId, std::string>> early;  // while it is coming up
+    net::SendId last_send = 0;
     std::size_t unsent = 0;
-    bool open = true, reading = true, connecting = false, offering = false;
+    bool open = true, reading = true, connecting = false, offering = false, finishing = false, said_end = false;
     std::optional<Closed> closing;
     Micros last_arrival = 0;
     net::TimerId connect_timer = 0;
@@ -76,8 +100,22 @@
     explicit EndStream(std::shared_ptr<End> end) : end_(std::move(end)) {}
     ~EndStream() override { end_->drop(); }
     void events(net::StreamEvents& to) override { end_->owner = &to; }
-    void send(std::string bytes) override { end_->send(std::move(bytes)); }
-    std::size_t unsent() const override { return end_->unsent + end_->early.size(); }
+    net::SendId send(std::string bytes) override { return end_->send(std::move(bytes)); }
+    std::size_t unsent() const override {
+        std::size_t early = 0;
+        for (const auto& [id, bytes] : end_->early) early += bytes.size();
+        return end_->unsent + early;
+    }
+    net::Written written(net::SendId id) const override {
+        const auto kept = std::any_of(end_->early.begin(), end_->early.end(),
+                                      [&](const auto& held) { return held.first == id; });
+        return id == 0 || kept ? net::Written::nothing : net::Written::whole;
+    }
+    bool take_back(net::SendId id) override { return end_->take_back(id); }
+    void finish() override { end_->finish(); }
+    void read_now() override {
+        if (const auto kept = end_; kept->open) kept->deliver();
+    }
     void read(bool on) override {
         if (std::exchange(end_->reading, on) == on || !on) return;
         end_->loop.after(0, [e = end_] { e->deliver(); });
@@ -112,14 +150,22 @@
     const net::Address& address() const override { return door_->address; }
     void accept(bool on) override {
         door_->accepting = on;
-        for (const auto door = door_; door->accepting && !door->waiting.empty();) {
+        take_waiting([](const Door& door) { return door.accepting; });
+    }
+    void accept_all() override {
+        take_waiting([](const Door&) { return true; });
+    }
+
+private:
+    template <typename May>
+    void take_waiting(May may) {
+        for (const auto door = door_; may(*door) && !door->waiting.empty();) {
             auto end = std::move(door->waiting.front());
             door->waiting.pop_front();
             door->take(std::move(end));
         }
     }
 
-private:
     std::shared_ptr<Door> door_;  // the loop holds it weakly: closed when this goes
 };
 
@@ -205,7 +251,7 @@
             mine->loop.cancel(std::exchange(mine->connect_timer, 0));
             mine->connecting = false;
             if (mine->owner) mine->owner->on_connected();
-            mine->send(std::exchange(mine->early, {}));
+            mine->go_out();
         });
         if (door->accepting) door->accepted(std::make_unique<EndStream>(std::move(theirs)));
         else door->waiting.push_back(std::move(theirs));
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -145,6 +145,105 @@
     for (const auto& l : late) EXPECT_GE(*l->waited, 35 * kMillisecond);
 }
 
+// What waits for a connection, or for the next turn, can be taken back out of the middle, and never arrives.
+TEST_F(LoopTest, WhatTheKernelHasNotTakenCanBeTakenBack) {
+    auto listening = loop.listen(*Address::parse("127.0.0.1:0"), [this](auto s) {
+        server.stream = std::move(s);
+        server.stream->events(server);
+    });
+    listener = std::move(*listening);
+    client.stream = loop.connect(listener->address(), client, kSecondMicros);
+    const auto first = client.stream->send("one "), second = client.stream->send("two "),
+               third = client.stream->send("three");
+    EXPECT_EQ(client.stream->written(second), Written::nothing);
+    EXPECT_TRUE(client.stream->take_back(second));
+    ASSERT_TRUE(until([&] { return server.got == 9; }));
+    EXPECT_EQ(client.stream->written(first), Written::whole);
+    EXPECT_FALSE(client.stream->take_back(third));
+    const auto later = client.stream->send("in this turn");
+    EXPECT_TRUE(client.stream->take_back(later));
+    client.stream->send("!");
+    ASSERT_TRUE(until([&] { return server.got > 9; }));
+    for (int i = 0; i < 5; ++i) loop.turn(0);
+    EXPECT_EQ(server.got, 10u);
+}
+
+// Behind a peer that reads nothing: what was begun can't be taken back, what stands behind it can.
+TEST_F(LoopTest, WhatIsPartlyWrittenStaysAndWhatStandsBehindItDoesNot) {
+    join();
+    server.stream->read(false);
+    const auto large = client.stream->send(std::string(32 << 20, 'x'));
+    for (int i = 0; i < 50; ++i) loop.turn(0);
+    const auto behind = client.stream->send("behind");
+    loop.turn(0);
+    EXPECT_EQ(client.stream->written(large), Written::part);
+    EXPECT_FALSE(client.stream->take_back(large));
+    const std::size_t unsent = client.stream->unsent();
+    EXPECT_TRUE(client.stream->take_back(behind));
+    EXPECT_EQ(client.stream->unsent(), unsent - 6);
+    // The peer ends over it: known to have been handed over in part, and nothing of what follows.
+    const auto last = client.stream->send("last");
+    server.stream.reset();
+    ASSERT_TRUE(until([&] { return client.closed.has_value(); }));
+    EXPECT_EQ(client.stream->written(large), Written::part);
+    EXPECT_EQ(client.stream->written(last), Written::nothing);
+}
+
+// A close over unread bytes would be a reset, and take away what the peer has not read yet.
+TEST_F(LoopTest, AGracefulCloseLosesNothingThatWasSaidBeforeIt) {
+    join();
+    client.take = false;  // does not read for now
+    client.stream->read(false);
+    const std::size_t size = 16 << 20;
+    server.stream->send(std::string(size, 'x'));
+    client.stream->send("a request that crosses the close");
+    for (int i = 0; i < 20; ++i) loop.turn(0);
+    const std::size_t heard = server.got;
+    server.stream->finish();
+    client.stream->send("and another one");
+    for (int i = 0; i < 20; ++i) loop.turn(0);
+    EXPECT_EQ(server.got, heard);  // read after the shutdown: dropped, nobody hears of it
+    EXPECT_FALSE(server.closed);
+    client.take = true;
+    client.stream->read(true);
+    ASSERT_TRUE(until([&] { return client.closed.has_value(); }));
+    EXPECT_EQ(*client.closed, Closed::by_peer);
+    EXPECT_EQ(client.got, size);
+    EXPECT_EQ(server.stream->send("too late"), 0u);
+    client.stream.reset();
+    ASSERT_TRUE(until([&] { return server.closed.has_value(); }));
+    EXPECT_EQ(*server.closed, Closed::by_peer);
+}
+
+// A peer that has said something and gone is heard to have done both before anything is done about the first.
+TEST_F(LoopTest, AnEndBehindBytesIsHeardInTheSameTurn) {
+    join();
+    client.stream->send("request");
+    client.stream.reset();
+    ASSERT_TRUE(until([&] { return server.got == 7; }));
+    EXPECT_TRUE(server.closed.has_value());
+}
+
+TEST_F(LoopTest, WhatHasComeCanBeReadAtOnceAndWhoeverWaitsInTheBacklogTakenIn) {
+    join();
+    PollLoop other;
+    End late;
+    listener->accept(false);
+    late.stream = other.connect(listener->address(), late, kSecondMicros);
+    late.stream->send("waits");
+    ASSERT_TRUE(gatetiller::testing::await(other, [&] { return late.connected && late.sent == 1; }));
+    server.stream.reset();
+    client.closed.reset(), server.got = 0;
+    listener->accept_all();
+    ASSERT_TRUE(server.stream);
+    EXPECT_EQ(server.got, 5u);
+    late.stream->send("more");
+    other.turn(0);
+    while (server.got < 9) server.stream->read_now();
+    listener.reset();
+    EXPECT_FALSE(late.closed);
+}
+
 TEST_F(LoopTest, SignalsComeAsCalls) {
     int got = 0;
     loop.on_signals({SIGUSR1}, [&](int s) { got = s; });
