Nothing is sent for whom has gone, and no connection is closed over an answer

Now: half-close of what rests 0.7 s after the signal, the backlog taken in, the end when all have ended or before the kill. - planned_restart: with deadlines under 0.3 s the end came after the platform's kill.

--- a/src/decide/exchange.cpp
+++ b/src/decide/exchange.cpp
@@ -18,11 +18,17 @@
         case How::fault: return Outcome::err;
         case How::late: return Outcome::skipped;
         case How::refused: return Outcome::econnrefused;
+        case How::unsent: return Outcome::skipped;
         case How::lost: break;
     }
     return Outcome::econnreset;
 }
 
+ExchangeEnd::How proved_by_end(bool ever_connected, Handed handed) {
+    if (!ever_connected) return ExchangeEnd::How::refused;
+    return handed == Handed::whole ? ExchangeEnd::How::lost : ExchangeEnd::How::unsent;
+}
+
 bool AnswerFields::read(std::string_view text) {
     fields_.clear();
     if (text == "-") return true;
--- a/src/decide/node_bounds.cpp
+++ b/src/decide/node_bounds.cpp
@@ -27,24 +27,31 @@
     return b;
 }
 
-bool overdue(const ClientFacts& c, Micros now, const DoorTimes& t) {
+bool overdue(const ClientFacts& c, Micros now, const ClientTimes& t) {
     if (c.closing) return now - c.closing_since >= t.last_words;
-    if (c.half_since > 0 && now - c.half_since >= t.half_request) return true;
+    if (c.open > 0 || c.unsent) return false;
+    if (c.half_since > 0) return now - c.half_since >= t.half_request;
     return !c.served && now - c.connected >= t.first_request;
 }
 
-std::optional<std::size_t> makes_room(const std::vector<ClientFacts>& clients) {
-    std::optional<std::size_t> best;
-    const auto rank = [](const ClientFacts& c) {
-        return std::tuple(!c.closing, c.served, c.served ? c.last_active : c.connected);
-    };
-    for (std::size_t i = 0; i < clients.size(); ++i)
-        if (clients[i].open == 0 && (!best || rank(clients[i]) < rank(clients[*best]))) best = i;
-    return best;
+std::optional<Micros> may_leave_at(const ClientFacts& c, const ClientTimes& t) {
+    if (c.open > 0) return std::nullopt;
+    if (c.closing) return c.closing_since;
+    if (c.unsent) return std::nullopt;
+    if (c.half_since > 0) return c.half_since + t.half_request;
+    return c.served ? c.last_active + t.to_ask_again : c.connected + t.to_speak;
 }
 
-Micros may_leave_at(const ClientFacts& c, const DoorTimes& t) {
-    return c.closing || c.served ? 0 : c.connected + t.to_speak;
+std::optional<Leaver> makes_room(const std::vector<ClientFacts>& clients, Micros now, const ClientTimes& t) {
+    std::optional<Leaver> best;
+    const auto rank = [&](const ClientFacts& c, Micros at) {
+        return std::tuple(at > now, at > now ? at : 0, !c.closing, c.served, at);
+    };
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+        const auto at = may_leave_at(clients[i], t);
+        if (at && (!best || rank(clients[i], *at) < rank(clients[best->who], best->at))) best = Leaver{i, *at};
+    }
+    return best;
 }
 
 }  // namespace gatetiller::decide
--- a/src/decide/node_bounds.hpp
+++ b/src/decide/node_bounds.hpp
@@ -22,27 +22,36 @@
 // at a reload); engines get what a busy hour needs, clients the rest: the usual ones hold a third at most.
 NodeBounds bounds_of(std::int64_t sockets, std::int64_t memory_mb);
 
-struct DoorTimes {
+struct ClientTimes {
     Micros first_request = 2 * kSecondMicros;  // from connecting until a whole request is there
     Micros half_request = 2 * kSecondMicros;   // from a request's first byte to its last
     Micros to_speak = 50 * kMillisecond;       // nobody makes room for another before it could say anything
-    Micros last_words = kSecondMicros;         // for a client to read why it is closed
+    Micros to_ask_again = 250 * kMillisecond;  // nor so soon after its last request
+    Micros last_words = kSecondMicros;         // for a client to read why it is closed, and to close too
 };
 
 struct ClientFacts {
     Micros connected = 0, last_active = 0;
     Micros half_since = 0;  // a request's first bytes are there since then; 0: none
     std::size_t open = 0;   // requests
+    bool unsent = false;    // part of an answer has not gone out
     bool served = false;    // some request came whole
-    bool closing = false;   // it has been told why
+    bool closing = false;   // this side has said all and is shut
     Micros closing_since = 0;
 };
 
-bool overdue(const ClientFacts& c, Micros now, const DoorTimes& times);
-// Which one makes room for another: one that is being closed, one that never asked, one that is idle; each
-// time the longest so. Nothing where every connection has requests open.
-std::optional<std::size_t> makes_room(const std::vector<ClientFacts>& clients);
-// From when it may be closed to make room: a flood of the silent must not wash away who is about to ask.
-Micros may_leave_at(const ClientFacts& c, const DoorTimes& times);
+// Whether it has had its time. Never while an answer is owed to it or on its way: closing would lose that.
+bool overdue(const ClientFacts& c, Micros now, const ClientTimes& times);
+// From when it may be closed to make room or at a restart; nothing while it is owed an answer. A flood of the
+// silent must not wash away who is about to ask, and half a request is soon a whole one.
+std::optional<Micros> may_leave_at(const ClientFacts& c, const ClientTimes& times);
+// Which one makes room for another, and from when on. Of those that may leave now: one that is being closed,
+// one that never asked, one that is idle; each time the longest so. Else whoever may leave first: a resting
+// client must not be kept at the price of those that wait outside. Nothing where all are owed answers.
+struct Leaver {
+    std::size_t who = 0;
+    Micros at = 0;
+};
+std::optional<Leaver> makes_room(const std::vector<ClientFacts>& clients, Micros now, const ClientTimes& times);
 
 }  // namespace gatetiller::decide
--- a/src/decide/planned_restart.cpp
+++ b/src/decide/planned_restart.cpp
@@ -6,7 +6,9 @@
 namespace {
 
 constexpr Micros kCountedMost = 3 * kSecondMicros;
-constexpr Micros kPast = 300 * kMillisecond;  // of the 700 ms that the platform leaves past the deadline
+constexpr Micros kKilledPast = 700 * kMillisecond;  // the deadline: the platform kills no sooner
+constexpr Micros kSpare = 150 * kMillisecond;       // for the end to be over by then
+constexpr Micros kToRead = 250 * kMillisecond;      // for clients to read the last answers and to close
 
 }  // namespace
 
@@ -14,7 +16,9 @@
     Micros longest = 0;
     for (const auto& c : settings.classes) longest = std::max(longest, c.deadline);
     RestartTimes t;
-    t.last_answers = std::max(t.stays, std::min(longest, kCountedMost) + kPast);
+    t.leaves = std::min(longest, kCountedMost) + kKilledPast - kSpare;
+    t.last_answers = std::max(t.takes_new, t.leaves - kToRead);
+    t.stays = std::min(t.stays, t.last_answers);
     return t;
 }
 
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -9,6 +9,7 @@
 constexpr int kCallsATurn = 32;                  // of one connection, before others have theirs
 constexpr Micros kCaughtUp = 10 * kMillisecond;  // without a newcomer: the queue is empty
 constexpr Micros kSweep = 100 * kMillisecond;
+constexpr std::size_t kSpareShare = 8;  // one in so many places is kept free by graceful closes, if it can be
 
 }  // namespace
 
@@ -19,7 +20,6 @@
     }
 
     void on_data(Buffer& in) override {
-        if (facts.closing) return in.take(in.size());  // read, so that what was said is not lost to a reset
         const std::weak_ptr<char> here = alive;
         for (int calls = 0; !facts.closing; ++calls) {
             std::string_view frame;
@@ -27,21 +27,17 @@
             if (framing == thrift::Framing::none) break;
             if (calls == kCallsATurn) return stream->offer();
             if (framing == thrift::Framing::too_long) {
-                close_with(0, thrift::Fault::protocol,
-                           "a message of over " + std::to_string(kFrameMost) + " bytes");
-                break;
+                return close_with(0, thrift::Fault::protocol,
+                                  "a message of over " + std::to_string(kFrameMost) + " bytes");
             }
             auto call = thrift::read_call(frame);
             in.take(thrift::kFrameHead + frame.size());
-            if (!call) {
-                close_with(0, thrift::Fault::protocol, call.error());
-                break;
-            }
+            if (!call) return close_with(0, thrift::Fault::protocol, call.error());
             facts.last_active = clients.loop_.now();
             take(std::move(*call));
             if (here.expired()) return;
         }
-        if (facts.closing) return in.take(in.size());
+        if (facts.closing) return;
         if (in.empty()) facts.half_since = 0;
         else if (facts.half_since == 0) facts.half_since = clients.loop_.now();
     }
@@ -80,18 +76,24 @@
     decide::ClientFacts facts_now() const {
         auto now = facts;
         now.open = numbers.open();
+        now.unsent = stream->unsent() > 0;
         return now;
     }
 
     // Its other requests are nobody's from here on: no answer on this connection could be trusted.
     void close_with(std::int32_t seq, thrift::Fault fault, const std::string& why) {
         ++clients.counters_.malformed;
-        facts.closing = true, facts.closing_since = clients.loop_.now();
-        facts.half_since = 0;
         stream->send(thrift::exception("process", seq, fault, why));
+        close();
         for (const auto left : numbers.end_all()) clients.events_.given_up(id, left);
     }
 
+    void close() {
+        facts.closing = true, facts.closing_since = clients.loop_.now();
+        facts.half_since = 0;
+        stream->finish();
+    }
+
     Clients& clients;
     Id id;
     std::unique_ptr<net::Stream> stream;
@@ -137,31 +139,82 @@
 void Clients::make_room() {
     while (connections_.size() >= bounds_.clients)
         if (!close_one()) return;
+    // A little ahead of need, so that nobody's last bytes cross a close that can't wait for them.
+    const std::size_t spare = bounds_.clients / kSpareShare;
+    if (connections_.size() + spare < bounds_.clients) return;
+    const auto [leaver, id] = next_to_leave();
+    if (leaver && leaver->at <= loop_.now() && !connections_.at(id)->facts.closing) close_at_rest(id);
 }
 
-bool Clients::close_one() {
+std::pair<std::optional<decide::Leaver>, Clients::Id> Clients::next_to_leave() const {
     std::vector<decide::ClientFacts> facts;
     std::vector<Id> ids;
     for (const auto& [id, c] : connections_) facts.push_back(c->facts_now()), ids.push_back(id);
-    const auto leaves = decide::makes_room(facts);
-    const Micros now = loop_.now();
-    const Micros at = leaves ? decide::may_leave_at(facts[*leaves], times_) : now + times_.to_speak;
+    const auto leaver = decide::makes_room(facts, loop_.now(), times_);
+    return {leaver, leaver ? ids[leaver->who] : 0};
+}
+
+bool Clients::close_one() {
+    const auto [leaver, id] = next_to_leave();
+    const Micros now = loop_.now(), at = leaver ? leaver->at : now + times_.to_speak;
     if (at <= now) {
+        // It may be asking right now: what has come already is read first, and a close over unread bytes would
+        // be a reset.
+        if (!at_rest_now(id)) return true;
         ++counters_.evicted;
-        drop(ids[*leaves]);
+        drop(id);
         return true;
     }
     ++counters_.waits;
     if (resume_ != 0) return false;
     if (waiting_since_ == 0) waiting_since_ = now;
-    listener_->accept(false);
+    if (listener_) listener_->accept(false);
     resume_ = loop_.after(at - now, [this] {
         resume_ = 0;
-        listener_->accept(true);
+        if (listener_) listener_->accept(true);
     });
     return false;
 }
 
+// Reads what has come. Whether the connection still stands and may be closed.
+bool Clients::at_rest_now(Id id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) return false;
+    if (found->second->facts.closing) return true;
+    found->second->stream->read_now();
+    const auto still = connections_.find(id);
+    if (still == connections_.end() || still->second->facts.closing) return false;
+    const auto facts = still->second->facts_now();
+    const auto at = decide::may_leave_at(facts, times_);
+    return (at && *at <= loop_.now()) || decide::overdue(facts, loop_.now(), times_);
+}
+
+void Clients::close_at_rest(Id id) {
+    if (!at_rest_now(id)) return;
+    auto& c = *connections_.at(id);
+    if (!c.facts.closing) c.close();
+}
+
+void Clients::accept_again() {
+    loop_.cancel(std::exchange(resume_, 0));
+    if (listener_) listener_->accept(true);
+}
+
+void Clients::wind_down() {
+    std::vector<Id> resting;
+    for (const auto& [id, c] : connections_) {
+        const auto at = decide::may_leave_at(c->facts_now(), times_);
+        if (!c->facts.closing && at && *at <= loop_.now()) resting.push_back(id);
+    }
+    for (const Id id : resting) close_at_rest(id);
+}
+
+void Clients::close_listener() {
+    if (!listener_) return;
+    listener_->accept_all();
+    listener_.reset();
+}
+
 void Clients::reply(Id id, std::int32_t seq, std::string frame) {
     const auto found = connections_.find(id);
     if (found == connections_.end() || !found->second->numbers.end(seq)) return;
@@ -185,8 +238,14 @@
     for (const auto& [id, c] : connections_)
         if (decide::overdue(c->facts_now(), loop_.now(), times_)) late.push_back(id);
     for (const Id id : late) {
+        const auto found = connections_.find(id);
+        if (found == connections_.end()) continue;
+        if (found->second->facts.closing) {
+            drop(id);
+            continue;
+        }
         ++counters_.overdue;
-        drop(id);
+        close_at_rest(id);
     }
 }
 
--- a/src/node/clients.hpp
+++ b/src/node/clients.hpp
@@ -1,5 +1,6 @@
 // The client side of a front node: Thrift connections, their requests by number, and the bounds on them.
-// Whoever is malformed is told so and closed here; what is whole goes to the handler.
+// Whoever is malformed is told so and closed here; what is whole goes to the handler. Connections are closed
+// gracefully where a descriptor can be spared for it, and never while an answer is owed or on its way.
 #pragma once
 
 #include <cstdint>
@@ -36,6 +37,12 @@
     // The answer to an open request, as a whole frame; passed over where the client has gone.
     void reply(Id id, std::int32_t seq, std::string frame);
     void bound(const decide::NodeBounds& bounds) { bounds_ = bounds; }  // for whoever comes from now on
+    // At a planned restart. From the first call of wind_down() on connections at rest are closed, as are others
+    // once they are; to be called again and again. close_listener() takes in whoever waits in the listen
+    // backlog first, so that the machine's acceptance is nobody's last word.
+    void accept_again();
+    void wind_down();
+    void close_listener();
     std::size_t connections() const { return connections_.size(); }
     const ClientCounters& counters() const { return counters_; }
 
@@ -43,13 +50,17 @@
     struct Connection;
     void accepted(std::unique_ptr<net::Stream> stream);
     void make_room();
+    std::pair<std::optional<decide::Leaver>, Id> next_to_leave() const;
+    bool at_rest_now(Id id);
     bool close_one();  // false: nobody may be closed yet, and newcomers wait
+    // Closed gracefully, where what is read at the last moment leaves it at rest.
+    void close_at_rest(Id id);
     void drop(Id id);
     void sweep();
 
     net::Loop& loop_;
     decide::NodeBounds bounds_;
-    decide::DoorTimes times_;
+    decide::ClientTimes times_;
     Events events_;
     std::unique_ptr<net::Listener> listener_;
     std::unordered_map<Id, std::unique_ptr<Connection>> connections_;
--- a/src/node/engine_link.cpp
+++ b/src/node/engine_link.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using decide::ExchangeEnd;
+using decide::Handed;
 using How = ExchangeEnd::How;
 
 const resp::Limits kAnswer{4, 8 * 1024};
@@ -51,7 +52,7 @@
     void on_closed(net::Closed how) override {
         const bool never = how == net::Closed::refused || how == net::Closed::too_late;
         ++(never ? link.pool_.refused : link.pool_.broken);
-        end_all(never ? How::refused : How::lost, never ? "no connection" : "the connection ended");
+        end_all(!never, true, never ? "no connection" : "the connection ended");
     }
 
     // False: this connection is no more.
@@ -127,16 +128,22 @@
     }
     void spoil(const char* why) {
         ++link.pool_.spoilt;
-        end_all(How::lost, why);
+        end_all(true, false, why);
     }
-    void end_all(How how, const char* why) {
+    // `over`: the stream has ended, and nothing more of it goes out. Else what was begun may still go out whole
+    // when it is closed.
+    void end_all(bool ever_connected, bool stream_over, const char* why) {
+        std::vector<std::pair<Events*, How>> told;
+        for (const auto& [id, e] : std::exchange(open, {})) {
+            const auto handed = stream->take_back(e->asked_)                                   ? Handed::nothing
+                                : stream_over && stream->written(e->asked_) != net::Written::whole ? Handed::part
+                                                                                                    : Handed::whole;
+            told.emplace_back(&e->events_, decide::proved_by_end(ever_connected, handed));
+            e->on_ = nullptr;
+        }
         stream.reset();
-        const auto ended = std::exchange(open, {});
-        for (const auto& [id, e] : ended) e->on_ = nullptr;
-        std::vector<Events*> told;
-        for (const auto& [id, e] : ended) told.push_back(&e->events_);
         link.over(*this);  // `this` is no more: only what was copied counts from here
-        for (Events* events : told) {
+        for (const auto& [events, how] : told) {
             ExchangeEnd end;
             end.how = how, end.why = why;
             events->on_end(std::move(end));
@@ -152,10 +159,20 @@
     std::shared_ptr<char> alive = std::make_shared<char>();
 };
 
+bool Exchange::take_back() {
+    if (!on_ || !on_->stream->take_back(asked_)) return false;
+    for (const auto change : changes_) on_->stream->take_back(change);  // behind it, so as little written
+    Connection& c = *on_;
+    c.ids.erase(id_);
+    c.release(*this);
+    c.tidy();
+    return true;
+}
+
 Exchange::~Exchange() {
-    if (!on_) return;
+    if (!on_ || take_back()) return;
     Connection& c = *on_;
-    if (c.stream) c.stream->send(resp::array({pages_.begun() ? "forget" : "undo", id_}));
+    c.stream->send(resp::array({pages_.begun() ? "forget" : "undo", id_}));
     c.release(*this);
     // Whatever still comes under this id must not count for another attempt, and one whose answer never comes
     // serves no further use.
@@ -164,8 +181,8 @@
 }
 
 void Exchange::priority(int level) {
-    if (on_ && on_->stream && !pages_.begun())
-        on_->stream->send(resp::array({"bump", id_, std::to_string(level)}));
+    if (on_ && !pages_.begun())
+        changes_.push_back(on_->stream->send(resp::array({"bump", id_, std::to_string(level)})));
 }
 
 EngineLink::EngineLink(net::Loop& loop, net::Address address, decide::LinkLimits limits, LinkPool& pool)
@@ -176,6 +193,10 @@
         for (auto& [id, e] : c->open) e->on_ = nullptr;
 }
 
+void EngineLink::end_all(const char* why) {
+    while (!connections_.empty()) connections_.front()->end_all(true, false, why);
+}
+
 std::size_t EngineLink::open() const {
     std::size_t n = 0;
     for (const auto& c : connections_) n += c->open.size();
@@ -204,7 +225,7 @@
     e->on_ = c;
     c->open.emplace(id, e.get());
     c->ids.insert(id);
-    c->stream->send(resp::array({"do", id, fields, body}));
+    e->asked_ = c->stream->send(resp::array({"do", id, fields, body}));
     return e;
 }
 
--- a/src/node/engine_link.hpp
+++ b/src/node/engine_link.hpp
@@ -39,6 +39,9 @@
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
     void priority(int level);
+    // Takes the request back where nothing of it has gone out yet: then it never ran, and it is over without
+    // a further call. Whether that was so.
+    bool take_back();
 
 private:
     friend class EngineLink;
@@ -48,6 +51,8 @@
     std::string id_;
     Events& events_;
     Connection* on_ = nullptr;  // none: it is over
+    net::SendId asked_ = 0;             // its request among what its connection sends
+    std::vector<net::SendId> changes_;  // of its priority, likewise
     decide::ResultPages pages_;
     decide::ExchangeEnd served_;  // as its first answer told; good once every page is there
 };
@@ -56,6 +61,7 @@
 public:
     EngineLink(net::Loop& loop, net::Address address, decide::LinkLimits limits, LinkPool& pool);
     ~EngineLink();  // gives up what is open without a word to its owners
+    void end_all(const char* why);  // ends what is open, each with what that proves
     EngineLink(const EngineLink&) = delete;
     EngineLink& operator=(const EngineLink&) = delete;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -32,7 +32,7 @@
 struct Node::Attempt final : Exchange::Events {
     Attempt(Node& n, Running& r, int no, EngineId e)
         : node(n), running(r), number(no), engine(e), sent(n.loop_.now()) {}
-    ~Attempt() override { node.loop_.cancel(timer); }
+    ~Attempt() override { node.loop_.cancel(timer), node.loop_.cancel(window); }
     void on_note(NoteTopic topic, double value) override;
     void on_end(decide::ExchangeEnd end) override { node.on_end(*this, std::move(end)); }
 
@@ -41,7 +41,7 @@
     int number;
     EngineId engine;
     Micros sent;
-    net::TimerId timer = 0;
+    net::TimerId timer = 0, window = 0;  // for its whole time; for a repeat's beginning
     Micros noted = 0;  // when its last note came; for the log
     int notes = 0;
     bool out = false, over = false;  // out: it is the one that the request's life counts
@@ -58,7 +58,7 @@
     double grant_mb = 0;
     int priority = 1;
     std::vector<std::unique_ptr<Attempt>> attempts;
-    bool may_have_run = false;  // some attempt that is over
+    std::optional<Micros> ran_since;  // when the first attempt that may have run was sent; of those over
     decide::Life life;
 
     Attempt* out() { return life.out() ? attempts.back().get() : nullptr; }
@@ -145,16 +145,28 @@
     limits.streams = static_cast<std::size_t>(settings_.streams);
     limits.connect_time_out = settings_.connect_time_out;
     limits.idle_close = settings_.idle_close;
+    std::vector<std::unique_ptr<EngineLink>> moved;
     for (const auto& [id, listed] : list_.engines()) {
         Engine& e = engines_[id];
         if (e.link && e.address == listed.address) continue;
         const auto at = net::Address::parse(listed.address);
         if (!at) continue;
         e.name = listed.name, e.address = listed.address;
+        if (e.link) moved.push_back(std::move(e.link));
         e.link = std::make_unique<EngineLink>(loop_, *at, limits, pool_);
     }
     for (auto& [id, e] : engines_) e.listed = list_.engines().contains(id);
     driver_.post(std::move(*change));
+    // After the module knows: what ends here is tried again by the new list.
+    for (const auto& link : moved) link->end_all("the engine has another address");
+    // What still waits to go out to one that takes nothing new would begin after its grace.
+    std::vector<Attempt*> waiting;
+    for (const auto& [id, r] : running_) {
+        Attempt* const out = r->out();
+        const auto at = out ? list_.engines().find(out->engine) : list_.engines().end();
+        if (out && (at == list_.engines().end() || at->second.state != EngineState::on)) waiting.push_back(out);
+    }
+    for (Attempt* a : waiting) recall(*a);
 }
 
 // ---- Requests come and go
@@ -207,6 +219,8 @@
     if (!r || !r->life.take(Happening::left)) return;
     ++ended_["given_up"];
     driver_.post(Gone{r->id});
+    // Whether or not the module may call it off: nothing begins for a client that has gone.
+    if (Attempt* const out = r->out()) recall(*out);
     if (r->life.freeable()) free_later(r->id);
 }
 
@@ -308,16 +322,23 @@
         a.timer = 0;
         complete(a, Outcome::etimedout, a.running.life.finished());
     });
+    // A repeat must arrive while the engines still know the key, not only be sent by then.
+    if (r->cls->effect == Effect::by_key && r->ran_since)
+        a.window = loop_.after(*r->ran_since + r->cls->window - a.sent, [this, &a] {
+            a.window = 0;
+            recall(a);
+        });
     a.exchange = found->second.link->ask(r->id, fields, r->body, a);
 }
 
 void Node::complete(Attempt& a, Outcome outcome, bool finished, decide::ExchangeEnd* end) {
     if (std::exchange(a.over, true)) return;
-    loop_.cancel(std::exchange(a.timer, 0));
+    loop_.cancel(std::exchange(a.timer, 0)), loop_.cancel(std::exchange(a.window, 0));
+    if (a.exchange && a.exchange->take_back()) outcome = Outcome::skipped;
     a.exchange.reset();  // gives it up at the engine, where it is not over
     Running& r = a.running;
+    if (!never_ran(outcome) && !r.ran_since) r.ran_since = a.sent;
     if (a.out) r.life.take(Happening::attempt_over);
-    r.may_have_run = r.may_have_run || !never_ran(outcome);
     if (const auto found = engines_.find(a.engine); found != engines_.end()) --found->second.out;
     Completed c{r.id, a.number, a.engine, outcome, loop_.now() - a.sent, finished, 0, 0, std::nullopt};
     if (end) {
@@ -337,6 +358,12 @@
     if (r.life.freeable()) free_later(r.id);
 }
 
+bool Node::recall(Attempt& a) {
+    if (a.over || !a.exchange || !a.exchange->take_back()) return false;
+    complete(a, Outcome::skipped, a.running.life.finished());
+    return true;
+}
+
 void Node::on_end(Attempt& a, decide::ExchangeEnd end) {
     if (a.over) return;
     Running& r = a.running;
@@ -385,6 +412,7 @@
     if (draining_since_ > 0) return;
     draining_since_ = loop_.now();
     drained_ = std::move(done);
+    clients_.accept_again();
     deps_.log("draining: " + status());
     look_drained();
 }
@@ -392,7 +420,10 @@
 void Node::look_drained() {
     const Micros since = loop_.now() - draining_since_;
     if (since >= restart_.last_answers) end_all();
-    if (since >= restart_.stays && running_.empty()) {
+    if (since >= restart_.takes_new) clients_.wind_down();
+    if (since >= restart_.stays) clients_.close_listener();
+    const bool settled = since >= restart_.stays && running_.empty() && clients_.connections() == 0;
+    if (settled || since >= restart_.leaves) {
         deps_.log("drained: " + status());
         return drained_();
     }
@@ -406,7 +437,7 @@
         if (!r->life.finished()) left.push_back(id);
     for (const auto& id : left) {
         Running& r = *running_.at(id);
-        if (decide::last_word(*r.cls, r.may_have_run || r.out()) == decide::LastWord::refused)
+        if (decide::last_word(*r.cls, r.ran_since.has_value() || r.out()) == decide::LastWord::refused)
             refuse(r, 0, "ending");
         else finish(r, thrift::crashed(r.seq, {}), "failed");
         driver_.post(Gone{id});  // the module calls off what is out
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -60,6 +60,8 @@
     void given_up(Clients::Id client, std::int32_t seq);
     void carry_out(const Action& action);
     void send(const Send& action);
+    // Ends an attempt of which nothing has gone out yet: it never ran. Whether that was so.
+    bool recall(Attempt& a);
     void complete(Attempt& a, Outcome outcome, bool finished, decide::ExchangeEnd* end = nullptr);
     void on_end(Attempt& a, decide::ExchangeEnd end);
     void finish(Running& r, std::string frame, const char* how);
--- /dev/null
+++ b/tests/node/crossing_test.cpp
@@ -0,0 +1,460 @@
+// Events that cross, over loopback sockets: the peer forces their order. docs/design/front-node.md has the table.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "resp/resp.hpp"
+#include "rig.hpp"
+
+namespace gatetiller::testing {
+namespace {
+
+using Fields = thrift::Fields;
+using How = decide::ExchangeEnd::How;
+
+// A socket of the test's own, non-blocking, for what no stand-in does.
+class RawSocket {
+public:
+    explicit RawSocket(int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) : fd_(fd) {}
+    ~RawSocket() { close(); }
+    RawSocket(const RawSocket&) = delete;
+    RawSocket& operator=(const RawSocket&) = delete;
+    static sockaddr_in kernel(const net::Address& to) {
+        sockaddr_in in{};
+        in.sin_family = AF_INET, in.sin_port = htons(to.port);
+        inet_pton(AF_INET, to.host.c_str(), &in.sin_addr);
+        return in;
+    }
+    void connect(const net::Address& to) {
+        auto in = kernel(to);
+        ::connect(fd_, reinterpret_cast<sockaddr*>(&in), sizeof in);
+    }
+    net::Address listen(int backlog) {
+        auto in = kernel(*net::Address::parse("127.0.0.1:0"));
+        EXPECT_EQ(::bind(fd_, reinterpret_cast<sockaddr*>(&in), sizeof in), 0);
+        EXPECT_EQ(::listen(fd_, backlog), 0);
+        socklen_t size = sizeof in;
+        ::getsockname(fd_, reinterpret_cast<sockaddr*>(&in), &size);
+        return {net::Address::Family::ipv4, "127.0.0.1", ntohs(in.sin_port)};
+    }
+    std::unique_ptr<RawSocket> accept() {
+        const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        return fd < 0 ? nullptr : std::make_unique<RawSocket>(fd);
+    }
+    bool connected() const {
+        pollfd p{fd_, POLLOUT, 0};
+        return ::poll(&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0 && (p.revents & (POLLERR | POLLHUP)) == 0;
+    }
+    void send(std::string_view bytes) {
+        EXPECT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+    }
+    // Reads what is there into `got`. False once the other side has ended; `reset` says how.
+    bool read() {
+        char piece[65536];
+        for (;;) {
+            const ssize_t n = ::recv(fd_, piece, sizeof piece, 0);
+            if (n > 0) {
+                got.append(piece, static_cast<std::size_t>(n));
+                continue;
+            }
+            reset = n < 0 && errno != EAGAIN;
+            return n < 0 && errno == EAGAIN;
+        }
+    }
+    void receive_little() {
+        const int size = 4096;
+        setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+    }
+    void close() {
+        if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+    }
+
+    std::string got;
+    bool reset = false;
+
+private:
+    int fd_;
+};
+
+// An engine whose machine takes no connection until it is told to: whoever connects waits.
+class HeldEngine {
+public:
+    HeldEngine() : address(listener_.listen(0)) { filler_.connect(address); }
+    bool full() const { return filler_.connected(); }
+    void let_in() { EXPECT_TRUE(listener_.accept()); }
+    std::unique_ptr<RawSocket> accept() { return listener_.accept(); }
+
+private:
+    RawSocket listener_, filler_;
+
+public:
+    net::Address address;
+};
+
+class Crossing : public SocketRig {
+protected:
+    Crossing() { settings.connect_time_out = 20 * kSecondMicros; }
+
+    // What a client's request is, by its bytes.
+    std::string call(const lab::PlatformClient::Ask& a, std::int32_t seq) const {
+        Fields f{{"route", a.cls}, {"trace", a.trace}, {"customer", a.tenant},
+                 {"patience", std::to_string(a.patience / kMillisecond)}};
+        if (!a.nonce.empty()) f["nonce"] = a.nonce;
+        return thrift::process_call(seq, f, a.sql);
+    }
+    // Until the node's connection to a held engine has come up; what it then says first.
+    std::string said_once_up(HeldEngine& held, std::size_t least) {
+        held.let_in();
+        std::unique_ptr<RawSocket> up;
+        EXPECT_TRUE(until([&] { return (up = held.accept()) != nullptr; }));
+        EXPECT_TRUE(until([&] { return !up->read() || up->got.size() >= least; }));
+        return up->got;
+    }
+    // With one engine that holds whoever connects: a request that waits to go out to it.
+    void request_waits(HeldEngine& held, lab::PlatformClient& c, const lab::PlatformClient::Ask& a) {
+        c.ask(a);
+        ASSERT_TRUE(until([&] { return node->status().find("s-held:1/1/1") != std::string::npos; }))
+            << node->status();
+        (void)held;
+    }
+};
+
+// ---- Clients that have gone
+
+TEST_F(Crossing, ARequestWhoseClientLeavesWhileItsConnectionComesUpIsNeverSent) {
+    for (const bool may_cancel : {true, false}) {
+        settings.module.may_cancel = may_cancel;
+        node.reset(), clients.clear(), settings.known.clear();
+        settings.listen = at("");
+        HeldEngine held;
+        ASSERT_TRUE(until([&] { return held.full(); }));
+        list("s-held", held.address);
+        start();
+        auto& leaves = client();
+        const auto left = ask(), after = ask();
+        request_waits(held, leaves, left);
+        leaves.give_up(1);
+        ASSERT_TRUE(until([&] { return node->requests() == 0; }));
+        // Another one over the same connection is the first that the engine hears of.
+        auto& stays = client();
+        request_waits(held, stays, after);
+        const std::string said = said_once_up(held, 60);
+        EXPECT_EQ(said.find(left.trace), std::string::npos) << said;
+        EXPECT_NE(said.find(after.trace), std::string::npos) << said;
+        node.reset(), names.remove("s-held"), names.close("n0");
+    }
+}
+
+TEST_F(Crossing, ARequestTakenBackInTheSameBreathReachesNoEngine) {
+    auto& e = engine("s-1");
+    start();
+    const auto left = ask(), gone = ask();
+    auto& c = client();
+    c.raw(call(left, 1) + thrift::give_up_call(2, 1));
+    {
+        RawSocket leaves;
+        leaves.connect(settings.listen);
+        ASSERT_TRUE(until([&] { return leaves.connected(); }));
+        leaves.send(call(gone, 1));
+    }  // its end stands behind the request
+    auto& stays = client();
+    const auto seq = stays.ask(ask());
+    ASSERT_TRUE(until([&] { return stays.open() == 0 && node->requests() == 0; }));
+    EXPECT_EQ(stays.got().at(seq).how, "served");
+    for (const auto& r : records.engines)
+        for (const auto& a : {left, gone}) EXPECT_NE(r.entry.trace, a.trace) << r.entry.event;
+    EXPECT_TRUE(e.commands.empty()) << e.commands[0];
+    expect_rules_kept();
+}
+
+// ---- What an end proves
+
+struct Ends final : node::Exchange::Events {
+    void on_note(NoteTopic, double) override {}
+    void on_end(decide::ExchangeEnd e) override { how = e.how; }
+    std::optional<How> how;
+};
+
+// Many large requests on one connection to an engine that reads nothing: the first are with the kernel, the
+// last wait behind them.
+class DeafEngine : public ::testing::Test {
+protected:
+    void SetUp() override {
+        raw.receive_little();
+        const auto address = raw.listen(16);
+        decide::LinkLimits limits{.connections = 1, .streams = 10'000};
+        pool.most = 1;
+        link = std::make_unique<node::EngineLink>(loop, address, limits, pool);
+        for (int i = 0; i < 300; ++i) {
+            ends.push_back(std::make_unique<Ends>());
+            exchanges.push_back(link->ask("id-" + std::to_string(i) + ".", "-", std::string(40'000, 'x'), *ends.back()));
+        }
+        ASSERT_TRUE(await(loop, [&] { return (peer = raw.accept()) != nullptr; }));
+        for (int i = 0; i < 50; ++i) loop.turn(0);
+    }
+    net::PollLoop loop;
+    RawSocket raw;
+    std::unique_ptr<RawSocket> peer;
+    node::LinkPool pool;
+    std::vector<std::unique_ptr<Ends>> ends;
+    std::vector<std::unique_ptr<node::Exchange>> exchanges;
+    std::unique_ptr<node::EngineLink> link;
+};
+
+TEST_F(DeafEngine, WhatWaitsBehindOneThatReadsNothingIsTakenBackWithoutAWord) {
+    EXPECT_FALSE(exchanges.front()->take_back());  // with the kernel
+    EXPECT_TRUE(exchanges[298]->take_back());
+    exchanges[299]->priority(3);
+    exchanges[299].reset();  // given up: neither it nor what was said of it goes out
+    exchanges[297]->priority(2);
+    ASSERT_TRUE(await(loop, [&] {
+        peer->read();
+        return peer->got.find("bump") != std::string::npos;
+    }));
+    EXPECT_NE(peer->got.find("id-297."), std::string::npos);
+    EXPECT_EQ(peer->got.find("id-298."), std::string::npos);
+    EXPECT_EQ(peer->got.find("id-299."), std::string::npos);
+    EXPECT_EQ(peer->got.find("undo"), std::string::npos);
+}
+
+TEST_F(DeafEngine, AResetLosesWhatWasWrittenAndProvesThatTheRestNeverRan) {
+    peer->close();  // over unread bytes: a reset
+    ASSERT_TRUE(await(loop, [&] {
+        return std::all_of(ends.begin(), ends.end(), [](const auto& e) { return e->how.has_value(); });
+    }));
+    EXPECT_EQ(ends.front()->how, How::lost);
+    EXPECT_EQ(ends.back()->how, How::unsent);
+    // In the order of sending: all that may have run before all that can't have.
+    const auto first_unsent = std::find_if(ends.begin(), ends.end(), [](const auto& e) { return e->how == How::unsent; });
+    for (auto e = ends.begin(); e != ends.end(); ++e)
+        EXPECT_EQ((*e)->how, e < first_unsent ? How::lost : How::unsent);
+}
+
+TEST_F(DeafEngine, AnAnswerThatCantBeReadLosesNothingThatWasNeverSent) {
+    peer->send("*1\r\n$-7\r\n");
+    ASSERT_TRUE(await(loop, [&] { return ends.back()->how.has_value(); }));
+    EXPECT_EQ(ends.front()->how, How::lost);
+    EXPECT_EQ(ends.back()->how, How::unsent);
+}
+
+// A class that may not be repeated is tried again where its first connection ended before it was written.
+TEST_F(Crossing, OnceIsTriedAgainOnlyWhereItWasProvablyNeverSent) {
+    settings.module.classes[1].effect = Effect::once;
+    HeldEngine held;
+    ASSERT_TRUE(until([&] { return held.full(); }));
+    list("s-held", held.address);
+    start();
+    auto& c = client();
+    const auto a = ask("load");
+    request_waits(held, c, a);
+    // Its engine begins to drain: what waits is taken back, and goes to one that was listed meanwhile.
+    engine("s-2");
+    list("s-held", held.address, true);
+    ASSERT_TRUE(until([&] { return c.open() == 0; }));
+    EXPECT_EQ(c.got().at(1).how, "served");
+    expect_rules_kept();
+}
+
+// A repeat must arrive while the engines still know its key: not when its connection at last comes up.
+TEST_F(Crossing, ARepeatThatWaitsPastItsWindowIsTakenBack) {
+    settings.module.classes[1].window = 1'500 * kMillisecond;
+    HeldEngine held;
+    ASSERT_TRUE(until([&] { return held.full(); }));
+    auto& first = engine("s-1");
+    first.set({.silent = 1});
+    start();
+    auto& c = client();
+    const auto a = ask("load", 1);
+    c.ask(a);
+    ASSERT_TRUE(until([&] { return first.open() == 1; }));
+    list("s-held", held.address);
+    ASSERT_TRUE(until([&] { return node->status().find("s-held") != std::string::npos; }));
+    first.die();
+    ASSERT_TRUE(until([&] { return node->status().find("s-held:1/1/1") != std::string::npos; }))
+        << node->status();
+    ASSERT_TRUE(until([&] { return c.open() == 0; }));
+    EXPECT_EQ(c.got().at(1).how, "refused");  // whoever asks again with the key is told by any engine
+    EXPECT_NE(node->status().find("s-held:0/0/1"), std::string::npos) << node->status();
+    auto& stays = client();
+    const auto after = ask();
+    request_waits(held, stays, after);
+    const std::string said = said_once_up(held, 60);
+    EXPECT_EQ(said.find(a.trace), std::string::npos) << said;
+    EXPECT_NE(said.find(after.trace), std::string::npos) << said;
+}
+
+// ---- Lists
+
+TEST_F(Crossing, WhatIsOutAtAnEnginesOldAddressEndsAtOnceAndIsTriedAtTheNewOne) {
+    auto& e = engine("s-1");
+    start();
+    auto& c = client();
+    c.ask(ask("lookup", 3'500));
+    ASSERT_TRUE(until([&] { return e.open() == 1; }));
+    const Micros since = loop.now();
+    lab::PlatformEngineSettings other;
+    other.name = "s-1", other.at_once = 8;
+    lab::PlatformEngine moved(loop, other, records);
+    const auto place = moved.listen("n0", at(""));
+    list("s-1", *place);
+    ASSERT_TRUE(until([&] { return moved.open() == 1; }));
+    EXPECT_LT(loop.now() - since, 3 * kSecondMicros);  // not when its own time was up
+    c.give_up(1);
+    ASSERT_TRUE(until([&] { return moved.open() == 0 && e.open() == 0; }));
+    expect_rules_kept();
+}
+
+// ---- Making room
+
+TEST_F(Crossing, RestingClientsThatFillTheTableKeepNobodyOutside) {
+    engine("s-1");
+    start();
+    const std::size_t table = decide::bounds_of(settings.sockets, settings.memory_mb).clients;
+    const auto comes = [&] {
+        auto& c = client();
+        c.ask(ask("lookup", 1));
+        ASSERT_TRUE(until([&] { return c.open() == 0; })) << node->status();
+        ASSERT_EQ(c.got().size(), 1u) << node->status();
+        ASSERT_EQ(c.got().at(1).how, "served");
+    };
+    const auto clients_now = [&] {
+        return std::stoul(node->status().substr(node->status().find("clients=") + 8));
+    };
+    while (clients_now() + 1 < table - table / 8) comes();
+    const Micros full = loop.now();
+    ASSERT_TRUE(until([&] { return loop.now() > full + decide::ClientTimes{}.to_ask_again; }));
+    // All have asked once and stay. A silent one ahead of each newcomer must not make it wait.
+    for (std::size_t i = 0; i < table / 4; ++i) {
+        client();
+        comes();
+    }
+    EXPECT_NE(node->status().find("waits=0"), std::string::npos) << node->status();
+    EXPECT_LE(clients_now(), table);
+    expect_rules_kept();
+}
+
+// A request that has come already when its connection is to make room is served, not reset.
+TEST_F(Crossing, ARequestThatIsThereWhenItsConnectionIsToMakeRoomIsServed) {
+    settings.sockets = 64;
+    engine("s-1");
+    start();
+    const std::size_t table = decide::bounds_of(settings.sockets, settings.memory_mb).clients;
+    RawSocket rests;
+    rests.connect(settings.listen);
+    ASSERT_TRUE(until([&] { return rests.connected(); }));
+    rests.send(call(ask("lookup", 1), 1));
+    ASSERT_TRUE(until([&] { return rests.read() && !rests.got.empty(); }));
+    const Micros full = loop.now();
+    ASSERT_TRUE(until([&] { return loop.now() > full + decide::ClientTimes{}.to_ask_again; }));
+    // As many as fill the table stand in the listen backlog when it speaks: they are taken in in one turn, ahead
+    // of it or behind it.
+    std::vector<std::unique_ptr<RawSocket>> many;
+    for (std::size_t i = 0; i < table; ++i) {
+        many.push_back(std::make_unique<RawSocket>());
+        many.back()->connect(settings.listen);
+    }
+    rests.got.clear();
+    rests.send(call(ask("lookup", 1), 2));
+    ASSERT_TRUE(until([&] { return !rests.read() || !rests.got.empty(); }));
+    EXPECT_NE(rests.got.find("row 2"), std::string::npos) << node->status();
+    expect_rules_kept();
+}
+
+TEST_F(Crossing, AClientThatWritesSlowlyKeepsTheAnswerThatItWaitsFor) {
+    engine("s-1");
+    start();
+    RawSocket c;
+    c.connect(settings.listen);
+    ASSERT_TRUE(until([&] { return c.connected(); }));
+    const auto slow = ask("lookup", 2'600), half = ask();
+    const std::string second = call(half, 2);
+    c.send(call(slow, 1) + second.substr(0, 30));
+    // Past the time for half a request, with the first one still out: its answer comes, then the rest counts.
+    ASSERT_TRUE(until([&] { return !c.read() || c.got.find("row 2") != std::string::npos; }));
+    ASSERT_NE(c.got.find("row 2"), std::string::npos) << "closed: " << node->status();
+    expect_rules_kept();
+}
+
+// ---- Shutdown
+
+TEST_F(Crossing, AShutdownWaitsForAnswersThatTheirClientsHaveNotRead) {
+    settings.memory_mb = 256;
+    engine("s-1");
+    start();
+    RawSocket c;
+    c.receive_little();
+    c.connect(settings.listen);
+    ASSERT_TRUE(until([&] { return c.connected(); }));
+    std::string all;
+    for (int i = 1; i <= 32; ++i) all += call(ask("lookup", 1, 700), i);
+    std::size_t sent = 0;
+    ASSERT_TRUE(until([&] {
+        if (sent < all.size()) {
+            const auto piece = std::string_view(all).substr(sent, 1000);
+            c.send(piece), sent += piece.size();
+        }
+        return node->status().find("served=32") != std::string::npos;
+    })) << node->status();
+    bool over = false;
+    const Micros since = loop.now();
+    node->drain([&] { over = true; });
+    const auto times = decide::restart_times(settings.module);
+    ASSERT_TRUE(until([&] { return loop.now() - since > times.stays + 100 * kMillisecond; }));
+    EXPECT_FALSE(over) << "answers stood unsent";
+    ASSERT_TRUE(until([&] { return !c.read(); }));
+    EXPECT_FALSE(c.reset);
+    std::size_t answers = 0;
+    for (std::size_t at = c.got.find("row 699\n"); at != std::string::npos; at = c.got.find("row 699\n", at + 1)) ++answers;
+    EXPECT_EQ(answers, 32u);
+    c.close();
+    ASSERT_TRUE(until([&] { return over; }));
+    EXPECT_LT(loop.now() - since, times.leaves);
+}
+
+TEST_F(Crossing, ARequestThatCrossesTheShutdownOfARestingConnectionIsNotServed) {
+    auto& e = engine("s-1");
+    start();
+    RawSocket rests;
+    rests.connect(settings.listen);
+    ASSERT_TRUE(until([&] { return rests.connected(); }));
+    rests.send(call(ask("lookup", 1), 1));
+    ASSERT_TRUE(until([&] { return rests.read() && !rests.got.empty(); }));
+    bool over = false;
+    node->drain([&] { over = true; });
+    ASSERT_TRUE(until([&] { return !rests.read(); }));  // it is ended, in order
+    EXPECT_FALSE(rests.reset);
+    const std::string before = rests.got;
+    const auto crossing = ask();
+    rests.send(call(crossing, 2));
+    ASSERT_TRUE(until([&] { return over; }));
+    for (const auto& r : records.engines) EXPECT_NE(r.entry.trace, crossing.trace);
+    rests.read();
+    EXPECT_EQ(rests.got, before);
+    EXPECT_EQ(e.open(), 0u);
+}
+
+// Accepting pauses where the table is full of clients with requests open; a restart begins then.
+TEST_F(Crossing, WhoeverWaitsInTheListenBacklogAtAShutdownIsAnswered) {
+    settings.sockets = 16;
+    engine("s-1");
+    start();
+    const std::size_t table = decide::bounds_of(settings.sockets, settings.memory_mb).clients;
+    std::vector<lab::PlatformClient*> busy;
+    for (std::size_t i = 0; i < table + 3; ++i) {
+        busy.push_back(&client());
+        busy.back()->ask(ask("lookup", 400));
+    }
+    ASSERT_TRUE(until([&] { return node->status().find("waits=0") == std::string::npos; })) << node->status();
+    bool over = false;
+    node->drain([&] { over = true; });
+    ASSERT_TRUE(until([&] { return over; }));
+    for (const auto* c : busy) {
+        EXPECT_EQ(c->open(), 0u);
+        EXPECT_TRUE(c->got().contains(1)) << "ended without an answer";
+    }
+    expect_rules_kept();
+}
+
+}  // namespace
+}  // namespace gatetiller::testing
