A front that starts doesn't take the fleet to be idle, and a jam that nobody reports is noticed

Seen with a line for each attempt: after 14 s nodes restarted 5 s before had 20 to 41 attempts out, one on each engine (n5 at 17.558: 20 of 36 engines 1/1), 130 an engine over the fleet; 11,672 reports called off at their first note, p50 416 ms; 7,384 loads moved from behind loads after 3 ms, each over a new connection. Sends by rule: all reports passed by 'passes', at crowd 1.0 to 1.4, engine never heard of, pace 12 to 17.

Causes: brain.cpp, crowd began at 0 and moved a tenth a report: a restarted front heard one report and took the fleet to be idle; jammed engines answer nothing, so reports come from the others alone. engine_link: a connection on which a request was given up was closed.

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -53,7 +53,7 @@
 constexpr double kCalm = 1.3, kStrained = 1.7;    // run time over a calm one: the part of C grows, shrinks
 constexpr double kLateLeast = 0.1, kLateMost = 0.3;  // share of attempts late by themselves, likewise
 constexpr double kReachDown = 0.7, kCalmCreep = 1.002;  // a second: part; calm (doubles in 6 minutes)
-constexpr double kForLoad = 2;  // a note's value: it waits for a load
+constexpr int kForLoad = 2, kMoves = 2;  // a note says that it waits for a load; moves from behind one
 constexpr double kJam = 2.5;  // reported threads a core, a quarter past C for all fronts: nothing more goes
 constexpr std::size_t kScan = 8;  // held requests looked at per side when the first can't go
 
@@ -248,8 +248,9 @@
     struct {
         double run = 0, work = 0, memory = 0, threads = 1;
     } usual;  // of one query that runs, whatever its class
-    // Of the fleet, for engines not heard of lately: threads a core, and latency over expected run time.
-    double crowd = 0, pace = 1, fleet_cores = 0;
+    // Of the fleet, for engines not heard of lately: threads a core (not idle at the start),
+    // latency over expected run time, and the same with what still runs.
+    double crowd = kKnee, pace = 1, drag = 1, fleet_cores = 0;
     // This front's part of C where nothing reports: in even parts; and what moves it.
     double reach = 1, strain = 1, late = 0;  // late: share of attempts that missed their aim by themselves
     bool bound = false;  // since the last move a request waited for the part
@@ -454,7 +455,7 @@
         const double u = now <= r.aim ? 0 : now <= r.deadline ? kHalf : 1;
         t.window.push_back({now, latency, static_cast<double>(time), u});
         const double slow = a.slowness(static_cast<double>(time));
-        approach(engines[a.engine].slow, slow), approach(pace, slow);
+        approach(engines[a.engine].slow, slow), approach(pace, slow), approach(drag, slow);
     }
 
     void fit_stream(Stream& t, std::size_t cls) {
@@ -601,9 +602,11 @@
         const double width = s.classes[r.cls].threads, threads = e.threads + width;
         if (!under_pressure(e) && threads + elsewhere * usual.threads <= kKnee * e.cores) return true;
         // Where fronts outnumber threads, C for each engine is under one query: it binds over the fleet too.
-        // Sensitive queries pass while reports tell of room, best-effort ones wait while they tell of none.
+        // Sensitive queries pass while reports tell of room, best-effort ones wait while they tell of none. A
+        // jammed engine reports nothing, as it answers nothing: notes that crawl tell of it too.
         const double part = kThreadsPerCore / s.siblings * reach;
-        const bool quick = classes[r.cls].sensitive, passes = quick && crowded() < kKnee;
+        const bool quick = classes[r.cls].sensitive;
+        const bool passes = quick && crowded() < kKnee && drag < 2 * kSlowPressure;
         if (!quick && crowded() > kThreadsPerCore) return false;
         if (!passes && out_of_side[quick] > 0 && out_threads + width > part * fleet_cores) {
             bound = true;
@@ -968,13 +971,14 @@
         a.heard = now;
         Request& r = requests[slot];
         if (n.topic == NoteTopic::spills) learn_need(r, a, n.value);
-        // Behind a load, of whatever front, it stands still: moved at once, as nothing is lost.
-        if (n.topic == NoteTopic::waits && n.value == kForLoad && may_move(r))
+        // Behind a load, of whatever front, it stands still: moved at once, as nothing is lost; but not where
+        // three engines in a row hold one, as most do then.
+        if (n.topic == NoteTopic::waits && n.value == kForLoad && n.attempt < kMoves && may_move(r))
             actions.push_back(Cancel{r.id, n.attempt});
         if (n.topic != NoteTopic::progress) return;
         a.progress = std::clamp(n.value, 0.0, 1.0);
         const double lasts = static_cast<double>(now - a.sent) / std::max(a.progress, 0.01);
-        approach(engines[a.engine].slow, a.slowness(lasts));
+        approach(engines[a.engine].slow, a.slowness(lasts)), approach(drag, a.slowness(lasts));
         // An attempt that gets on far slower than a fresh one would, by a bad plan or a slow engine, is sent
         // again. Without an estimate, one that would take as long again is costly by itself and let finish.
         // When all engines are slow, so is the measure. Harm: a query far over its estimate loses its tries.
--- a/tests/policy/front_test.cpp
+++ b/tests/policy/front_test.cpp
@@ -254,6 +254,58 @@
     EXPECT_EQ(rig.cancels.size(), 2u);
 }
 
+// Found on roll+mass (seed 961393972896): five moves for nothing, each with a connection of its own.
+TEST(CallOff, WhatMeetsALoadOnThreeEnginesInARowWaitsThere) {
+    Settings s = plain();
+    s.attempts_cap = 6;
+    Rig rig(s);
+    rig.list({engine(1), engine(2), engine(3)});
+    rig.demand("s", "short");
+    for (int n = 0; n < 3; ++n) {
+        rig.feed(Note{"s", n, rig.sends.back().engine, NoteTopic::waits, 2});
+        if (n < 2) rig.outcome("s", n, rig.sends.back().engine, Outcome::ecanceled);
+    }
+    EXPECT_EQ(rig.cancels.size(), 2u);
+    EXPECT_EQ(rig.sends.size(), 3u);
+}
+
+// One of a hundred fronts on ten engines, and one answer with a report: how many of twenty short queries go out.
+std::size_t sent_after(double told, int crawling_notes) {
+    Settings s = plain();
+    s.siblings = 100, s.reports = ReportSource::answers;
+    Rig rig(s);
+    std::vector<EngineEntry> engines;
+    for (EngineId id = 1; id <= 10; ++id) engines.push_back(engine(id));
+    rig.list(engines);
+    if (crawling_notes > 0) rig.demand("l", "long");
+    rig.demand("first", "short");
+    const EngineId heard = rig.sends.back().engine;
+    rig.at(100'000);
+    Completed c;
+    c.id = "first", c.engine = heard, c.finished = true, c.taken = 100'000;
+    c.report.emplace().concurrent = told;
+    rig.feed(c);
+    rig.at(1'000'000);
+    for (int i = 0; i < crawling_notes; ++i)
+        rig.feed(Note{"l", 0, rig.sends.front().engine, NoteTopic::progress, 0.05});
+    const std::size_t before = rig.sends.size();
+    rig.demands(20, "s", "short");
+    return rig.sends.size() - before;
+}
+
+// Found on the same day: after a restart a front took the fleet to be nearly idle, since the average of the
+// reports it had heard began at nothing, and had an attempt out on each of 36 engines; so did 300 fronts.
+TEST(Slots, AFrontThatStartsDoesNotTakeTheFleetToBeIdle) {
+    EXPECT_LE(sent_after(24, 0), 4u);  // three threads a core on the only engine heard of
+    EXPECT_GE(sent_after(8, 0), 9u);   // one a core: there is room
+}
+
+// Engines that are jammed answer nothing, and reports come with answers: those heard are of the others.
+TEST(Slots, WhatCrawlsTellsOfAJamThatNobodyReports) {
+    EXPECT_GE(sent_after(5, 1), 9u);  // one note: that attempt may crawl by itself
+    EXPECT_LE(sent_after(5, 4), 4u);
+}
+
 TEST(CallOff, NeverWhatMustNotRunTwiceNorWhereItFreesNothing) {
     Settings fixed = plain();
     fixed.may_cancel = false;
