A connection on which a request was given up is closed again: its undo alone let second copies meet

Ruled out by reading: undo not written (one flush with the second copy), take_back of what was written (pieces of the buffer, tested), PONG of an earlier ping. Not ruled out: engines that are busy read commands late, but ends of connections at once. Lines at fault: engine_link.cpp, ~Exchange, which kept the connection.

--- a/src/decide/engine_connections.cpp
+++ b/src/decide/engine_connections.cpp
@@ -11,7 +11,6 @@
 }  // namespace
 
 bool stale(const LinkFacts& c, Micros now, const LinkLimits& limits) {
-    if (c.open == 0 && c.unproved && now - c.used > limits.ping_time_out) return true;
     return c.open == 0 && limits.idle_close > 0 && now - c.used > limits.idle_close - kIdleMargin;
 }
 
@@ -21,7 +20,7 @@
     const auto rank = [&](std::size_t i) { return std::pair(connections[i].open, -connections[i].used); };
     for (std::size_t i = 0; i < connections.size(); ++i) {
         const LinkFacts& c = connections[i];
-        const bool usable = !c.unproved && !c.asked_this && c.asked < kAskedMost && c.open < limits.streams &&
+        const bool usable = !c.retired && !c.asked_this && c.asked < kAskedMost && c.open < limits.streams &&
                             !stale(c, now, limits);
         if (usable && (!choice.use || rank(i) < rank(*choice.use))) choice.use = i;
     }
--- a/src/decide/engine_connections.hpp
+++ b/src/decide/engine_connections.hpp
@@ -15,7 +15,6 @@
     std::size_t connections = 8;  // to one engine
     std::size_t streams = 100;    // requests on one connection
     Micros connect_time_out = 250 * kMillisecond;
-    Micros ping_time_out = 500 * kMillisecond;
     Micros idle_close = 0;  // the engine's; 0: never
 };
 
@@ -24,13 +23,12 @@
     std::size_t asked = 0;  // in its whole life
     bool asked_this =
         false;             // the request's id among them: an answer of that try must not count for this one
-    bool unproved = false;  // a request was given up on it, and it has not answered a ping since
+    bool retired = false;  // a request was given up on it: it serves no further use
     Micros used = 0;       // when something last ended on it
 };
 
 // Idle for nearly as long as the engine leaves it open: a request could cross its close, and nobody would
 // know whether it ran.
-// An answer that never comes is the sign of a connection that serves no further use, also for other requests.
 bool stale(const LinkFacts& c, Micros now, const LinkLimits& limits);
 
 struct LinkChoice {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -81,8 +81,8 @@
     virtual const Address& address() const = 0;  // with the port that the kernel chose
     // Off: who comes waits in the listen backlog, unseen; whoever turns it on again reckons with that.
     virtual void accept(bool on) = 0;
-    // All that wait in the listen backlog, now: before the listener is destroyed, which would reset them.
-    virtual void accept_all() = 0;
+    // Who waits in the listen backlog, now, so many at most: before the listener is destroyed, which resets them.
+    virtual void accept_waiting(std::size_t most) = 0;
 };
 
 // A socket for datagrams (UDP over IPv4 or IPv6). What can't be sent is lost without a word, as on the way.
--- a/src/net/poll_loop.cpp
+++ b/src/net/poll_loop.cpp
@@ -343,9 +343,9 @@
         door_->accepting = on;
         if (door_->fd >= 0) door_->loop.want(*door_, on ? POLLIN : 0);
     }
-    void accept_all() override {
+    void accept_waiting(std::size_t most) override {
         const auto kept = door_;  // the owner may destroy this listener in what it hears
-        while (kept->fd >= 0 && kept->accept_one()) {}
+        while (most-- > 0 && kept->fd >= 0 && kept->accept_one()) {}
     }
 
 private:
--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -211,7 +211,8 @@
 
 void Clients::close_listener() {
     if (!listener_) return;
-    listener_->accept_all();
+    // Past the table's number there may be no descriptor for them.
+    listener_->accept_waiting(bounds_.clients - std::min(bounds_.clients, connections_.size()));
     listener_.reset();
 }
 
--- a/src/node/engine_link.cpp
+++ b/src/node/engine_link.cpp
@@ -58,10 +58,7 @@
     // False: this connection is no more.
     bool take(const std::string& id, const std::string& word, const std::string& text,
               const std::string& body) {
-        if (word == "PONG") {
-            if (id == ping_tag()) unproved = false;
-            return true;
-        }
+        if (word == "PONG") return true;
         decide::AnswerFields fields;
         if (!fields.read(text)) return spoil("fields that can't be read"), false;
         const auto found = open.find(id);
@@ -109,26 +106,26 @@
     }
 
     decide::LinkFacts facts(const std::string& id) const {
-        return {open.size(), ids.size(), ids.contains(id), unproved, used};
+        return {open.size(), ids.size(), ids.contains(id), retired, used};
     }
     bool finish(Exchange& e, ExchangeEnd end) {
         release(e);
         const std::weak_ptr<char> here = alive;
         e.events_.on_end(std::move(end));
-        return !here.expired();
+        if (here.expired()) return false;
+        return tidy();
     }
     void release(Exchange& e) {
         open.erase(e.id_);
         e.on_ = nullptr;
         used = link.loop_.now();
     }
-    // A request was given up here: whether the connection still works is asked before another one goes out on
-    // it, as it costs both sides more to set up a new one.
-    void ping() {
-        unproved = true, ++pings;
-        stream->send(resp::array({"ping", ping_tag()}));
+    // Closes what is of no further use. False: this connection is no more.
+    bool tidy() {
+        if (!retired || !open.empty()) return true;
+        link.over(*this);
+        return false;
     }
-    std::string ping_tag() const { return "ping-" + std::to_string(pings); }
     void spoil(const char* why) {
         ++link.pool_.spoilt;
         end_all(true, false, why);
@@ -158,8 +155,7 @@
     std::map<std::string, Exchange*> open;
     std::set<std::string> ids;  // ever asked here: a second attempt under one of them goes elsewhere
     Micros used;
-    std::uint64_t pings = 0;
-    bool unproved = false;
+    bool retired = false;
     std::shared_ptr<char> alive = std::make_shared<char>();
 };
 
@@ -169,6 +165,7 @@
     Connection& c = *on_;
     c.ids.erase(id_);
     c.release(*this);
+    c.tidy();
     return true;
 }
 
@@ -176,9 +173,11 @@
     if (!on_ || take_back()) return;
     Connection& c = *on_;
     c.stream->send(resp::array({pages_.begun() ? "forget" : "undo", id_}));
-    // Whatever still comes under this id does not count: no other attempt of the request goes out here.
     c.release(*this);
-    c.ping();
+    // Whatever still comes under this id must not count for another attempt, and one whose answer never comes
+    // serves no further use.
+    c.retired = true;
+    c.tidy();
 }
 
 void Exchange::priority(int level) {
