An engine that reports busy cores alone no longer counts as empty

Cause, in part: brain.cpp, reported() took a report without concurrency for a concurrency of 0, so that an engine heard of in the last three seconds looked empty; and crowd was never learnt though 'heard'. Now busy cores and the queue stand in, busy being at the knee; where neither is told, the fleet's crowd.

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -507,11 +507,12 @@
     }
 
     void take_report(Engine& e, const std::optional<Report>& report) {
-        e.alive = now;
-        if (!report) return;
-        e.report = *report;
-        e.reported = heard = now;
-        if (report->concurrent) approach(crowd, *report->concurrent * usual.threads / e.cores, kCrowdStep);
+        if (e.alive = now; !report) return;
+        e.report = *report, e.reported = heard = now;
+        auto& there = e.report.concurrent;  // where not told, from its cores: busy is at the knee
+        if (const auto busy = report->load_share; !there && busy)
+            there = *busy / kBusyShare * kKnee * e.cores / usual.threads + report->depth.value_or(0);
+        if (there) approach(crowd, *there * usual.threads / e.cores, kCrowdStep);
         e.out_at_report = static_cast<int>(e.out.size());
     }
 
@@ -578,8 +579,8 @@
 
     // Queries there in all, as its last report and the fleet tell, and those of other fronts.
     double reported(const Engine& e) const {
-        const double told = e.report.concurrent.value_or(0);
         const double usual_there = crowded() * e.cores / usual.threads;
+        const double told = e.report.concurrent.value_or(usual_there);
         // It holds for as long as what it counts takes to run, fading into what the fleet holds.
         const double life = std::max<double>(kReportLife, told * usual.work / e.cores);
         return told + (usual_there - told) * std::min(1.0, static_cast<double>(now - e.reported) / life);
@@ -605,10 +606,9 @@
         // Sensitive queries pass while reports tell of room, best-effort ones wait while they tell of none. A
         // jammed engine reports nothing, as it answers nothing: notes that crawl tell of it too.
         const double part = kThreadsPerCore / s.siblings * reach;
-        const bool quick = classes[r.cls].sensitive;
-        const bool passes = quick && crowded() < kKnee && drag < 2 * kSlowPressure;
+        const bool quick = classes[r.cls].sensitive, room = crowded() < kKnee && drag < 2 * kSlowPressure;
         if (!quick && crowded() > kThreadsPerCore) return false;
-        if (!passes && out_of_side[quick] > 0 && out_threads + width > part * fleet_cores) {
+        if (!(quick && room) && out_of_side[quick] > 0 && out_threads + width > part * fleet_cores) {
             bound = true;
             return false;
         }
--- a/tests/policy/front_test.cpp
+++ b/tests/policy/front_test.cpp
@@ -306,6 +306,28 @@
     EXPECT_LE(sent_after(5, 4), 4u);
 }
 
+// Found on another deployment, whose engines report busy cores and a queue alone: each counted as empty.
+TEST(Slots, BusyCoresTellOfACrowdWhereItIsNotReported) {
+    const auto sent = [](const Report& report) {
+        Settings s = plain();
+        s.siblings = 100, s.reports = ReportSource::answers;
+        Rig rig(s);
+        rig.list({engine(1)});
+        rig.demand("first", "short");
+        Completed c;
+        c.id = "first", c.engine = 1, c.finished = true, c.taken = 100'000, c.report = report;
+        rig.feed(c);
+        const std::size_t before = rig.sends.size();
+        rig.demands(12, "s", "short");
+        return rig.sends.size() - before;
+    };
+    Report idle, busy, unknown;
+    idle.load_share = 0.1, busy.load_share = 0.89, busy.depth = 0, unknown.mean_ms = 20;
+    EXPECT_GE(sent(idle), 8u);
+    EXPECT_LE(sent(busy), 2u);
+    EXPECT_LE(sent(unknown), 2u);
+}
+
 TEST(CallOff, NeverWhatMustNotRunTwiceNorWhereItFreesNothing) {
     Settings fixed = plain();
     fixed.may_cancel = false;
