Crossing tests: a parameter without use and an include are gone

Seen on reading the whole change: request_waits took the engine it is about and cast it away, as it asks the node's status by name; fcntl.h was included for nothing. No assertion changed.

--- a/tests/node/crossing_test.cpp
+++ b/tests/node/crossing_test.cpp
@@ -1,6 +1,5 @@
 // Events that cross, over loopback sockets: the peer forces their order. docs/design/front-node.md has the table.
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -112,11 +111,10 @@
         return up->got;
     }
     // With one engine that holds whoever connects: a request that waits to go out to it.
-    void request_waits(HeldEngine& held, lab::PlatformClient& c, const lab::PlatformClient::Ask& a) {
+    void request_waits(lab::PlatformClient& c, const lab::PlatformClient::Ask& a) {
         c.ask(a);
         ASSERT_TRUE(until([&] { return node->status().find("s-held:1/1/1") != std::string::npos; }))
             << node->status();
-        (void)held;
     }
 };
 
@@ -133,12 +131,12 @@
         start();
         auto& leaves = client();
         const auto left = ask(), after = ask();
-        request_waits(held, leaves, left);
+        request_waits(leaves, left);
         leaves.give_up(1);
         ASSERT_TRUE(until([&] { return node->requests() == 0; }));
         // Another one over the same connection is the first that the engine hears of.
         auto& stays = client();
-        request_waits(held, stays, after);
+        request_waits(stays, after);
         const std::string said = said_once_up(held, 60);
         EXPECT_EQ(said.find(left.trace), std::string::npos) << said;
         EXPECT_NE(said.find(after.trace), std::string::npos) << said;
@@ -247,7 +245,7 @@
     start();
     auto& c = client();
     const auto a = ask("load");
-    request_waits(held, c, a);
+    request_waits(c, a);
     // Its engine begins to drain: what waits is taken back, and goes to one that was listed meanwhile.
     engine("s-2");
     list("s-held", held.address, true);
@@ -278,7 +276,7 @@
     EXPECT_NE(node->status().find("s-held:0/0/1"), std::string::npos) << node->status();
     auto& stays = client();
     const auto after = ask();
-    request_waits(held, stays, after);
+    request_waits(stays, after);
     const std::string said = said_once_up(held, 60);
     EXPECT_EQ(said.find(a.trace), std::string::npos) << said;
     EXPECT_NE(said.find(after.trace), std::string::npos) << said;
