Log each attempt's first bytes, connection and list age, and each question to the name service

At debug level each attempt now says when its first bytes go to the kernel, on which connection, how long it waited, for how long its engine has been draining and how old the list held is; connections say when they are opened, come up and end; questions to the name service and their answers have a line each. No decision is changed.

--- a/src/decide/engine_list.hpp
+++ b/src/decide/engine_list.hpp
@@ -34,6 +34,7 @@
     // The list of that number was heard again, unchanged.
     void confirm(std::uint64_t number, Micros now);
     std::uint64_t number() const { return number_; }
+    Micros heard() const { return heard_; }  // when the list held was last confirmed
     const std::map<EngineId, ListedEngine>& engines() const { return engines_; }  // those not gone
 
 private:
--- a/src/node/engine_link.cpp
+++ b/src/node/engine_link.cpp
@@ -39,8 +39,25 @@
 }  // namespace
 
 struct Exchange::Connection final : net::StreamEvents {
-    Connection(EngineLink& l) : link(l), used(l.loop_.now()) { ++link.pool_.open; }
-    ~Connection() override { --link.pool_.open; }
+    Connection(EngineLink& l)
+        : link(l), number(++l.pool_.opened), opened_at(l.loop_.now()), used(l.loop_.now()) {
+        ++link.pool_.open;
+    }
+    ~Connection() override {
+        if (link.pool_.trace) trace("closed with " + std::to_string(unsent_bytes()) + " bytes unsent");
+        --link.pool_.open;
+    }
+
+    std::string name() const { return "connection " + std::to_string(number) + " to " + link.address_.text(); }
+    std::size_t unsent_bytes() const { return stream ? stream->unsent() : 0; }
+    void trace(const std::string& what) const {
+        link.pool_.trace(name() + " " + what + " open=" + std::to_string(open.size()) +
+                         " ms=" + std::to_string((link.loop_.now() - opened_at) / kMillisecond));
+    }
+    void on_connected() override {
+        up = true;
+        if (link.pool_.trace) trace("is up");
+    }
 
     void on_data(Buffer& in) override {
         const std::weak_ptr<char> here = alive;
@@ -82,6 +99,7 @@
                 return cut_off("its first part had gone out too long ago");
             waiting.erase(waiting.begin());
         }
+        for (const Exchange* e : waiting) e->events_.on_begin(number);
         std::size_t bytes = 0;
         for (auto e = waiting.begin(); e != waiting.end() && bytes < most; ++e) bytes += renew(**e);
     }
@@ -216,6 +234,7 @@
     // `over`: the stream has ended, and nothing more of it goes out. Else what was begun may still go out whole
     // when it is closed.
     void end_all(LinkEnd link_end, bool stream_over, const char* why) {
+        if (link.pool_.trace) trace(std::string("ends: ") + why);
         std::vector<std::pair<Events*, How>> told;
         for (const auto& [id, e] : std::exchange(open, {})) {
             const auto handed = stream->take_back(e->asked_)                                   ? Handed::nothing
@@ -235,6 +254,9 @@
     }
 
     EngineLink& link;
+    std::uint64_t number;  // among all that the front node opened; for logs
+    Micros opened_at;
+    bool up = false;
     std::unique_ptr<net::Stream> stream;
     std::map<std::string, Exchange*> open;
     std::vector<Exchange*> unsent;  // of those open, what the kernel has not taken whole, as far as is known; in order
@@ -268,6 +290,15 @@
     on_->give_up(*this);
 }
 
+std::string Exchange::state() const {
+    if (!on_) return "over";
+    const auto written = on_->stream->written(asked_);
+    const char* const gone = written == net::Written::whole  ? "gone out whole"
+                             : written == net::Written::part ? "gone out in part"
+                                                             : "not gone out";
+    return on_->name() + (on_->up ? " (up)" : " (not up)") + ", " + gone;
+}
+
 void Exchange::priority(int level) {
     if (on_ && !pages_.begun())
         changes_.push_back(on_->stream->send(resp::array({"bump", id_, std::to_string(level)})));
@@ -302,7 +333,6 @@
     connections_.push_back(std::make_unique<Exchange::Connection>(*this));
     auto& fresh = *connections_.back();
     fresh.stream = loop_.connect(address_, fresh, limits_.connect_time_out);
-    ++pool_.opened;
     return &fresh;
 }
 
--- a/src/node/engine_link.hpp
+++ b/src/node/engine_link.hpp
@@ -25,6 +25,7 @@
     std::uint64_t opened = 0, refused = 0, broken = 0, spoilt = 0, unasked = 0;
     std::uint64_t lacked = 0;   // connections that this machine had no descriptor, port or the like for
     std::uint64_t renewed = 0;  // requests that waited to go out and were written anew
+    std::function<void(const std::string&)> trace;  // a line for each connection's beginning and end; may be absent
 };
 
 class EngineLink;
@@ -44,6 +45,8 @@
             std::string_view body;
         };
         virtual std::optional<Request> request() = 0;
+        // Its first bytes are about to go to the kernel.
+        virtual void on_begin(std::uint64_t connection) = 0;
     };
     ~Exchange();
     Exchange(const Exchange&) = delete;
@@ -55,6 +58,8 @@
     // The same, and of a request that has gone out in part the rest is held back too, at the price of its connection: an
     // engine runs nothing less than a whole one.
     bool withhold();
+    // For logs: its connection and how far the request has gone out.
+    std::string state() const;
 
 private:
     friend class EngineLink;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -61,6 +61,7 @@
     void on_note(NoteTopic topic, double value) override;
     void on_end(decide::ExchangeEnd end) override { node.on_end(*this, std::move(end)); }
     std::optional<Request> request() override;
+    void on_begin(std::uint64_t connection) override;
 
     Node& node;
     Running& running;
@@ -119,13 +120,30 @@
            },
            [this](decide::Invariant i, Clients::Id c) { count(i, "client " + std::to_string(c)); }}),
       dns_(loop, kService, settings_.seed, {},
-           {[this](std::uint64_t n, std::vector<decide::ListedEngine> list) { take_list(n, list); },
-            [this](std::uint64_t n) { list_.confirm(n, loop_.now()); },
-            [this](const std::string&) { ++bad_lists_; }}),
+           {[this](std::uint64_t n, std::vector<decide::ListedEngine> list) {
+                if (deps_.trace)
+                    deps_.trace("name service: list " + std::to_string(n) + " of " + std::to_string(list.size()) +
+                                " engines, held: " + list_text());
+                take_list(n, list);
+            },
+            [this](std::uint64_t n) {
+                if (deps_.trace) deps_.trace("name service: list " + std::to_string(n) + " again, held: " + list_text());
+                list_.confirm(n, loop_.now());
+            },
+            [this](const std::string& why) {
+                if (deps_.trace) deps_.trace("name service: " + why + ", held: " + list_text());
+                ++bad_lists_;
+            },
+            [this](std::uint16_t id, int unanswered) {
+                if (deps_.trace)
+                    deps_.trace("name service: asked with id " + std::to_string(id) + ", unanswered before " +
+                                std::to_string(unanswered));
+            }}),
       guard_(settings_.module),
       wall_offset_(loop.wall() - loop.now()),
       restart_(decide::restart_times(settings_.module)) {
     pool_.most = bounds_.engines;
+    pool_.trace = deps_.trace;
     pool_.make_room = [this] {
         return std::any_of(engines_.begin(), engines_.end(),
                            [](const auto& e) { return e.second.link && e.second.link->drop_one_idle(); });
@@ -426,7 +444,7 @@
     const int times = planted("send_over_cold_budget") ? 400 : 1;
     if (facts.target.cold) found->second.sent.insert(found->second.sent.end(), static_cast<std::size_t>(times), a.sent);
     if (deps_.trace)
-        deps_.trace(text_of(a) + " sent limit_ms=" + std::to_string(limit / kMillisecond));
+        deps_.trace(text_of(a) + " sent limit_ms=" + std::to_string(limit / kMillisecond) + " " + list_text());
     a.exchange = found->second.link->ask(*permit, r->id, a);
     if (!a.exchange) return complete(a, Outcome::skipped, r->life.finished());
     if (planted("send_while_attempt_out") && a.number == 0) send(action);
@@ -448,6 +466,20 @@
     return Request{std::move(fields), r.body};
 }
 
+// The list, its number and for how long it has not been confirmed: what an attempt's engine was chosen by.
+std::string Node::list_text() const {
+    return "list=" + std::to_string(list_.number()) +
+           " list_age_ms=" + std::to_string((loop_.now() - list_.heard()) / kMillisecond);
+}
+
+void Node::Attempt::on_begin(std::uint64_t connection) {
+    if (!node.deps_.trace) return;
+    const auto engine_facts = node.facts_of(*this).target;
+    node.deps_.trace(node.text_of(*this) + " begins on connection " + std::to_string(connection) +
+                     " waited_ms=" + std::to_string((node.loop_.now() - sent) / kMillisecond) + " draining_ms=" +
+                     std::to_string(engine_facts.draining_for / kMillisecond) + " " + node.list_text());
+}
+
 // ---- What the guard of attempts is told
 
 decide::AttemptFactsNow Node::facts_of(const Attempt& a) const {
@@ -502,6 +534,7 @@
 void Node::complete(Attempt& a, Outcome outcome, bool finished, decide::ExchangeEnd* end) {
     if (std::exchange(a.over, true)) return;
     loop_.cancel(std::exchange(a.timer, 0)), loop_.cancel(std::exchange(a.window, 0));
+    const std::string state = deps_.trace && a.exchange ? a.exchange->state() : "";
     if (a.exchange && a.exchange->take_back()) outcome = Outcome::skipped;
     a.exchange.reset();  // gives it up at the engine, where it is not over
     Running& r = a.running;
@@ -524,7 +557,7 @@
             text_of(a) + " " + decide::name_of(outcome) + " ms=" + std::to_string(c.taken / kMillisecond) +
             " notes=" + std::to_string(a.notes) +
             (a.notes > 0 ? " last_note_ms=" + std::to_string((a.noted - a.sent) / kMillisecond) : "") +
-            (end ? " " + end->why : ""));
+            (end ? " " + end->why : "") + (state.empty() ? "" : " " + state));
     }
     driver_.post(std::move(c));
     if (r.life.freeable()) free_later(r.id);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -82,6 +82,7 @@
     decide::TargetFacts target_facts(const Engine& e) const;
     std::optional<double> cold_requests(const Engine& e) const;
     std::string text_of(const Attempt& a) const;
+    std::string list_text() const;
     std::string engines_text() const;
     // Ends an attempt of which nothing has gone out yet: it never ran.
     void recall(Attempt& a);
--- a/src/roster/dns_source.cpp
+++ b/src/roster/dns_source.cpp
@@ -73,6 +73,7 @@
     const auto id = static_cast<std::uint16_t>(random_.next());
     asked_.push_back({id, now});
     socket_->send(service_, dns::srv_question(id, name_));
+    if (events_.asked) events_.asked(id, unanswered_);
     timer_ = loop_.after(jittered(patience()), [this] { ask(); });
     ++unanswered_;
 }
--- a/src/roster/dns_source.hpp
+++ b/src/roster/dns_source.hpp
@@ -31,6 +31,7 @@
         // The very answer of the last good list came again.
         std::function<void(std::uint64_t number)> confirmed;
         std::function<void(const std::string& why)> bad;  // an answer that was passed over
+        std::function<void(std::uint16_t id, int unanswered)> asked = nullptr;  // a question went out; may be absent
     };
     // `from`: the address to ask from, its port chosen by the kernel. The loop outlives this.
     DnsSource(net::Loop& loop, std::string name, std::uint64_t seed, DnsTimes times, Events events);
--- a/tests/node/crossing_test.cpp
+++ b/tests/node/crossing_test.cpp
@@ -237,6 +237,7 @@
     void on_note(NoteTopic, double) override {}
     void on_end(decide::ExchangeEnd e) override { how = e.how; }
     std::optional<Request> request() override { return Request{"-", body}; }
+    void on_begin(std::uint64_t) override {}
     std::optional<How> how;
     std::string body = std::string(40'000, 'x');
 };
