--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -64,6 +65,8 @@
     virtual std::size_t unsent() const = 0;  // bytes not yet taken by the kernel
     // How much of it the kernel has taken. Once the stream has ended this is what can have arrived at most.
     virtual Written written(SendId id) const = 0;
+    // Bytes that the kernel has taken and the peer's has not acknowledged yet; nothing where that can't be told.
+    virtual std::optional<std::size_t> unacknowledged() const = 0;
     // Takes it out of the buffer where the kernel has none of it: then it never arrives. Whether that was so.
     virtual bool take_back(SendId id) = 0;
     // Puts other bytes in its place where the kernel has none of it. Whether that was so.
--- a/src/net/poll_socket.cpp
+++ b/src/net/poll_socket.cpp
@@ -1,4 +1,6 @@
 // Connections of PollLoop.
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -226,6 +228,12 @@
     return at->begun ? Written::part : Written::nothing;
 }
 
+std::optional<std::size_t> PollLoop::Socket::unacknowledged() const {
+    int bytes = 0;
+    if (fd < 0 || connecting || ::ioctl(fd, SIOCOUTQ, &bytes) != 0 || bytes < 0) return std::nullopt;
+    return static_cast<std::size_t>(bytes);
+}
+
 bool PollLoop::Socket::take_back(SendId id) {
     if (written(id) != Written::nothing) return false;
     if (id == 0) return true;
--- a/src/net/poll_watched.hpp
+++ b/src/net/poll_watched.hpp
@@ -60,6 +60,7 @@
     void write_again_later();
     void send_later(std::string bytes);
     Written written(SendId id) const;
+    std::optional<std::size_t> unacknowledged() const;
     bool take_back(SendId id);
     bool replace(SendId id, const std::string& bytes);
     void drop_unsent();
@@ -131,6 +132,7 @@
     SendId send(std::string bytes) override;
     std::size_t unsent() const override { return socket_->out.size(); }
     Written written(SendId id) const override { return socket_->written(id); }
+    std::optional<std::size_t> unacknowledged() const override { return socket_->unacknowledged(); }
     bool take_back(SendId id) override { return socket_->take_back(id); }
     bool replace(SendId id, std::string bytes) override { return socket_->replace(id, bytes); }
     void drop_unsent() override { socket_->drop_unsent(); }
--- a/src/net/tap.cpp
+++ b/src/net/tap.cpp
@@ -21,6 +21,7 @@
     }
     std::size_t unsent() const override { return below_->unsent(); }
     Written written(SendId id) const override { return below_->written(id); }
+    std::optional<std::size_t> unacknowledged() const override { return below_->unacknowledged(); }
     // What was told as sent stays so: the sink hears of no retreat.
     bool take_back(SendId) override { return false; }
     void finish() override { below_->finish(); }
--- a/src/node/engine_link.cpp
+++ b/src/node/engine_link.cpp
@@ -296,7 +296,9 @@
     const char* const gone = written == net::Written::whole  ? "gone out whole"
                              : written == net::Written::part ? "gone out in part"
                                                              : "not gone out";
-    return on_->name() + (on_->up ? " (up)" : " (not up)") + ", " + gone;
+    const auto unacknowledged = on_->stream->unacknowledged();
+    return on_->name() + (on_->up ? " (up)" : " (not up)") + ", " + gone +
+           (unacknowledged ? ", unacknowledged " + std::to_string(*unacknowledged) : "");
 }
 
 void Exchange::priority(int level) {
--- a/src/sim/virtual_loop.cpp
+++ b/src/sim/virtual_loop.cpp
@@ -113,6 +113,7 @@
                                       [&](const auto& held) { return held.first == id; });
         return id == 0 || kept ? net::Written::nothing : net::Written::whole;
     }
+    std::optional<std::size_t> unacknowledged() const override { return std::nullopt; }
     bool take_back(net::SendId id) override { return end_->take_back(id); }
     void finish() override { end_->finish(); }
     bool replace(net::SendId id, std::string bytes) override {
