Red: a drain is not heard in time after a silence, from a dead port, after a number far ahead

Real processes on loopback: a node, two engines, a name service and clients that ask fifty times a second. The stand-in of the name service now records when a drain counts as told at the latest (1.5 s after the first question that a good answer would have told of it; 4.5 s after a long silence began), whatever became of its answers, and the checker judges rule 3 by it: until now it knew only of the answers that were sent, so a front that hears nothing broke nothing.

Seen: 21 of 276, 58 of 301 and 55 of 351 requests to the drained engine over 2.05 s after it counted as told.

--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -252,6 +252,7 @@
                     if (!a.ended) a.ended = r.at, a.quiet_end = true;
             }
         }
+        if (r.event == "told_at_latest") return told_at_latest(r);
         const bool older = r.event == "older_list_served";
         if (r.event != "list_served" && !older) return;
         Front& f = fronts_[r.who];
@@ -268,6 +269,28 @@
             else if (f.drains_by_list.emplace(facts->address, r.at).second) ++out_.drains;
         }
     }
+    // "name=fading" or "name=off", whatever became of the answers that would have told it. It holds from then on, or from when
+    // the lab let the front's process go on, if it held it still then.
+    void told_at_latest(const LabRecord& r) {
+        const std::size_t equals = r.detail.find('=');
+        const auto facts = by_name_.find(r.detail.substr(0, equals));
+        if (facts == by_name_.end()) return;
+        Front& f = fronts_[r.who];
+        if (f.drains_by_list.emplace(facts->second->address, std::max(r.at, goes_on_at(r.who, r.at))).second)
+            ++out_.drains;
+    }
+    // When the lab lets a front go on that it holds still at that moment; 0: it does not hold it.
+    Micros goes_on_at(const std::string& front, Micros at) const {
+        bool still = false;
+        for (const LabRecord& r : records_.lab) {
+            if (r.who != front) continue;
+            if (r.event == "front_stopped" && r.at <= at) still = true;
+            if (r.event != "front_continued") continue;
+            if (r.at > at && still) return r.at;
+            still = false;
+        }
+        return 0;
+    }
     // Where the other ends of a front's sockets kept the records (platform.hpp), requests and attempts stand
     // there by themselves.
     void read_peers() {
--- a/src/lab/platform.cpp
+++ b/src/lab/platform.cpp
@@ -277,12 +277,45 @@
     before_ = entries_;
     entries_[entry.name] = entry;
     ++number_;
+    if (entry.draining) tell_latest(entry.name, "fading");
 }
 
 void NameService::remove(const std::string& name) {
     before_ = entries_;
     entries_.erase(name);
     ++number_;
+    tell_latest(name, "off");
+}
+
+void NameService::set(const NameFaults& faults) {
+    if (faults.silent && !faults_.silent) silent_since_ = loop_.now();
+    deaf_ports_ = faults.deaf_ports ? ports_ : std::set<std::string>{};
+    faults_ = faults;
+}
+
+void NameService::tell_latest(const std::string& engine, const char* state) {
+    if (!terms_) return;
+    // A front asks within so long; what a good answer would have told then counts as told some time later.
+    constexpr Micros kAsksWithin = 300 * kMillisecond;
+    const std::weak_ptr<char> here = alive_;
+    loop_.after(kAsksWithin + terms_->usually, [this, here, engine, state] {
+        if (here.expired()) return;
+        const Micros now = loop_.now();
+        const bool long_silence = faults_.silent && now - silent_since_ > terms_->long_silence;
+        const Micros counts_at = silent_since_ + terms_->after_silence;
+        if (!long_silence || counts_at <= now) return record_latest_of(engine, state);
+        loop_.after(counts_at - now, [this, here, engine, state] {
+            if (!here.expired()) record_latest_of(engine, state);
+        });
+    });
+}
+
+void NameService::record_latest_of(const std::string& engine, const char* state) {
+    for (const auto& [front, socket] : sockets_) {
+        LabRecord r;
+        r.at = loop_.now(), r.event = "told_at_latest", r.who = front, r.detail = engine + "=" + state;
+        records_.lab.push_back(std::move(r));
+    }
 }
 
 std::string NameService::known(const std::string& front) const {
@@ -314,7 +347,13 @@
 
 void NameService::asked(const std::string& front, const net::Address& from, std::string_view question) {
     ++questions_;
-    if (question.size() < 17 || faults_.silent || random_.chance(faults_.lost)) return;
+    const std::string asker = front + " " + from.text();
+    ports_.insert(asker);
+    if (question.size() < 17 || faults_.silent || deaf_ports_.contains(asker) || random_.chance(faults_.lost)) return;
+    if (faults_.dropped > 0) {
+        --faults_.dropped;
+        return;
+    }
     const bool old = random_.chance(faults_.old);
     const auto& entries = old ? before_ : entries_;
     std::string services, around;
--- a/src/lab/platform.hpp
+++ b/src/lab/platform.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "base/random.hpp"
@@ -82,6 +83,15 @@
     double lost = 0, failure = 0, cut = 0, foreign = 0, old = 0;  // shares of answers
     bool silent = false;
     Micros slow = 0;  // every answer takes so long
+    int dropped = 0;  // so many answers, the next ones, never arrive
+    bool deaf_ports = false;  // ports that have asked before this was set are not answered any more; new ones are
+};
+
+// When at the latest a change of the list counts as told, whatever became of the answers (the platform's protocol).
+struct NameTerms {
+    Micros usually = 1'500 * kMillisecond;       // after the first question that a good answer would have told of it
+    Micros after_silence = 4'500 * kMillisecond;  // after a silence began, where that is later
+    Micros long_silence = 3 * kSecondMicros;      // a shorter one changes nothing
 };
 
 class NameService {
@@ -97,7 +107,11 @@
     void close(const std::string& front) { sockets_.erase(front); }
     void put(const Entry& entry);  // new or changed: one event
     void remove(const std::string& name);
-    void set(const NameFaults& faults) { faults_ = faults; }
+    void set(const NameFaults& faults);
+    // From now on each drain and each removal is also recorded ("told_at_latest") when it counts as told at the latest.
+    void record_latest(const NameTerms& terms) { terms_ = terms; }
+    // The numbering starts anew; the next event has number 1, or so many more.
+    void renumber(std::uint64_t from = 0) { number_ = from; }
     std::uint64_t number() const { return number_; }
     std::uint64_t questions() const { return questions_; }
     std::string known(const std::string& front) const;  // the configuration's member of that name, as JSON
@@ -108,6 +122,8 @@
     void asked(const std::string& front, const net::Address& from, std::string_view question);
     void say(const std::string& front, const net::Address& to, const std::string& message, const std::string& event,
              const std::string& states);
+    void tell_latest(const std::string& engine, const char* state);
+    void record_latest_of(const std::string& engine, const char* state);
 
     net::Loop& loop_;
     Records& records_;
@@ -116,6 +132,9 @@
     std::map<std::string, std::unique_ptr<net::Datagrams>> sockets_;
     std::map<std::string, Entry> entries_, before_;  // before_: one event ago
     std::uint64_t number_ = 0, questions_ = 0;
+    std::optional<NameTerms> terms_;
+    Micros silent_since_ = 0;
+    std::set<std::string> ports_, deaf_ports_;  // that have asked; of those, the ones that are not answered
     std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
