Discovery: a steady pace through silences, a new port, and a way back from any number

The steady pace (250 ms) is kept for 8 s of silence now: until then a change may count as told before it is heard. A service whose answers take over 250 ms is asked every half second. An answer sets the next question only if it answers the latest one. - One UDP port for the process's whole life: after three questions without an answer the next one comes from a new port (four at most). - No list below the highest number ever seen was taken, for ever: numbers are serials now (RFC 1982), eight older answers in a row over 2 s are a numbering that has started anew, drains in them count at once, and other content under the number held is taken when it comes twice. decide/list_numbering.hpp, decide/engine_list.hpp.

--- a/src/decide/engine_list.cpp
+++ b/src/decide/engine_list.cpp
@@ -24,19 +24,89 @@
     return std::max<Micros>(1, std::min(estimate, at_latest));
 }
 
-void EngineList::confirm(std::uint64_t number, Micros now) {
-    if (any_ && number == number_) heard_ = now;
+std::optional<ListChange> EngineList::take(std::uint64_t number, const std::vector<ListedEngine>& list, Micros now,
+                                           Micros wall, Micros asked) {
+    const auto serial = static_cast<std::uint32_t>(number);
+    switch (numbering_.judge(serial, asked, now)) {
+        case ListVerdict::newer:
+        case ListVerdict::restarted: return adopt(serial, list, now, wall);
+        case ListVerdict::outdated: return std::nullopt;
+        case ListVerdict::older: return doubt(list);
+        case ListVerdict::held: break;
+    }
+    heard_ = now;
+    if (holds(list)) return settle();
+    if (list == other_) return adopt(serial, list, now, wall);
+    other_ = list;
+    return doubt(list);
+}
+
+std::optional<ListChange> EngineList::take(std::uint64_t number, const std::vector<ListedEngine>& list, Micros now,
+                                           Micros wall) {
+    const auto serial = static_cast<std::uint32_t>(number);
+    if (!numbering_.newer(serial)) return std::nullopt;
+    return adopt(serial, list, now, wall);
+}
+
+bool EngineList::confirm(std::uint64_t number, Micros now) {
+    const bool held = any_ && static_cast<std::uint32_t>(number) == numbering_.held();
+    if (!held || !doubted_.empty() || !other_.empty()) return false;
+    (void)numbering_.judge(numbering_.held(), now, now);
+    heard_ = now;
+    return true;
+}
+
+EngineState EngineList::state(EngineId id) const {
+    const auto found = engines_.find(id);
+    if (found == engines_.end()) return EngineState::off;
+    return doubted_.contains(id) ? EngineState::fading : found->second.state;
+}
+
+bool EngineList::holds(const std::vector<ListedEngine>& list) const {
+    if (list.size() != engines_.size()) return false;
+    return std::all_of(list.begin(), list.end(), [&](const ListedEngine& e) {
+        const auto id = ids_.find(e.name);
+        return id != ids_.end() && engines_.at(id->second) == e;
+    });
 }
 
-std::optional<ListChange> EngineList::take(std::uint64_t number, const std::vector<ListedEngine>& list,
-                                           Micros now, Micros wall) {
-    if (any_ && number <= number_) {
-        confirm(number, now);
-        return std::nullopt;
+EngineEntry EngineList::entry(EngineId id, EngineState state) const {
+    const ListedEngine& e = engines_.at(id);
+    return {id, state, e.zone, e.kind, e.cell, came_up_.at(id), e.share};
+}
+
+// Only what makes the front more careful.
+std::optional<ListChange> EngineList::doubt(const std::vector<ListedEngine>& list) {
+    ListChange change;
+    change.form = ListForm::incr;
+    for (const ListedEngine& e : list) {
+        const auto id = ids_.find(e.name);
+        if (e.state != EngineState::fading || id == ids_.end() || state(id->second) != EngineState::on) continue;
+        doubted_.insert(id->second);
+        change.engines.push_back(entry(id->second, EngineState::fading));
     }
+    if (change.engines.empty()) return std::nullopt;
+    return change;
+}
+
+// The list held came again.
+std::optional<ListChange> EngineList::settle() {
+    ListChange change;
+    change.form = ListForm::incr;
+    other_.clear();
+    for (const EngineId id : std::exchange(doubted_, {}))
+        change.engines.push_back(entry(id, engines_.at(id).state));
+    if (change.engines.empty()) return std::nullopt;
+    return change;
+}
+
+std::optional<ListChange> EngineList::adopt(std::uint32_t number, const std::vector<ListedEngine>& list, Micros now,
+                                            Micros wall) {
     ListChange change;
     change.form = any_ ? ListForm::incr : ListForm::warm_copy;
-    number_ = number;
+    numbering_.hold(number, now);
+    const auto doubted = std::exchange(doubted_, {});
+    other_.clear();
     Micros latest_start = 0;
     for (const ListedEngine& e : list) latest_start = std::max(latest_start, e.started);
     std::map<std::string, EngineId> ids;
@@ -46,17 +116,16 @@
         const EngineId id = known != ids_.end() ? known->second : ++last_;
         ids.emplace(e.name, id);
         ListedEngine& held = engines_[id];
-        if (known != ids_.end() && held == e) continue;
+        if (known != ids_.end() && held == e && !doubted.contains(id)) continue;
         // A start counts by the clocks of the moment it is first heard of: a later step of the wall clock
         // must not make an engine colder or warmer.
         if (known == ids_.end() || held.started != e.started) came_up_[id] = came_up(e, latest_start, now, wall);
         held = e;
-        change.engines.push_back({id, e.state, e.zone, e.kind, e.cell, came_up_[id], e.share});
+        change.engines.push_back(entry(id, e.state));
     }
     for (const auto& [name, id] : ids_) {
         if (ids.contains(name)) continue;
-        const ListedEngine& e = engines_[id];
-        change.engines.push_back({id, EngineState::off, e.zone, e.kind, e.cell, came_up_[id], e.share});
+        change.engines.push_back(entry(id, EngineState::off));
         engines_.erase(id), came_up_.erase(id);
     }
     ids_ = std::move(ids);
--- a/src/decide/engine_list.hpp
+++ b/src/decide/engine_list.hpp
@@ -1,13 +1,15 @@
-// The list of engines as a front node keeps it: by the name service's ids, in the order of the service's
-// numbers. What changed is handed to the module; what a good whole list no longer holds is gone.
+// The list of engines as a front node keeps it: by the name service's ids, in the order of the service's numbers
+// (list_numbering.hpp). What changed is handed to the module; what a good whole list no longer holds is gone.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "decide/list_numbering.hpp"
 #include "policy/brain.hpp"
 
 namespace gatetiller::decide {
@@ -25,28 +27,45 @@
 
 class EngineList {
 public:
-    // A whole list with its number, heard at `now` while the wall clock stood at `wall`. Nothing where it is
-    // no newer than what is held, or changes nothing. The first one is told as the copy of the start. The wall clock
-    // alone never makes a start old: an engine is no older than the last good list that lacked its start, and one of the
-    // first list counts as new unless it looks hours old. It is older, though, by what the list's latest start is later.
-    std::optional<ListChange> take(std::uint64_t number, const std::vector<ListedEngine>& list, Micros now,
-                                   Micros wall);
-    // The list of that number was heard again, unchanged.
-    void confirm(std::uint64_t number, Micros now);
-    std::uint64_t number() const { return number_; }
+    // A whole list with its number, heard at `now` while the wall clock stood at `wall`, asked for at `asked`. Nothing where
+    // it tells nothing new. The first one is told as the copy of the start.
+    //
+    // A list of an older number, or of the number held with other content, is not taken at once: a service may answer with
+    // an older list now and then. The engines that it says are draining count as draining until the list held is heard
+    // again. It is taken once the same comes twice under the number held, or once the numbering has started anew.
+    //
+    // The wall clock alone never makes a start old: an engine is no older than the last good list that lacked its start, and
+    // one of the first list counts as new unless it looks hours old. It is older, though, by what the list's latest start is
+    // later.
+    std::optional<ListChange> take(std::uint64_t number, const std::vector<ListedEngine>& list, Micros now, Micros wall,
+                                   Micros asked);
+    // The list of a configuration: taken where its number is newer.
+    std::optional<ListChange> take(std::uint64_t number, const std::vector<ListedEngine>& list, Micros now, Micros wall);
+    // Whether the list of that number is the one held and nothing is in doubt, so that its content need not be read again
+    // where the same answer has come again.
+    bool confirm(std::uint64_t number, Micros now);
+    std::uint64_t number() const { return numbering_.held(); }
     Micros heard() const { return heard_; }  // when the list held was last confirmed
     const std::map<EngineId, ListedEngine>& engines() const { return engines_; }  // those not gone
+    EngineState state(EngineId id) const;  // off: gone, or never heard of
 
 private:
+    std::optional<ListChange> adopt(std::uint32_t number, const std::vector<ListedEngine>& list, Micros now, Micros wall);
+    std::optional<ListChange> doubt(const std::vector<ListedEngine>& list);
+    std::optional<ListChange> settle();
+    bool holds(const std::vector<ListedEngine>& list) const;
+    EngineEntry entry(EngineId id, EngineState state) const;
     Micros came_up(const ListedEngine& e, Micros latest_start, Micros now, Micros wall) const;
 
-    std::uint64_t number_ = 0;
-    Micros heard_ = 0;  // when the list held was last confirmed
+    ListNumbering numbering_;
+    Micros heard_ = 0;
     bool any_ = false;
     EngineId last_ = 0;
     std::map<std::string, EngineId> ids_;  // of those not gone
     std::map<EngineId, ListedEngine> engines_;
     std::map<EngineId, Micros> came_up_;  // on the loop's clock, reckoned once for each start
+    std::set<EngineId> doubted_;  // on by the list held, draining by an answer that was not taken
+    std::vector<ListedEngine> other_;  // the last one that came under the number held with other content
 };
 
 }  // namespace gatetiller::decide
--- /dev/null
+++ b/src/decide/list_numbering.cpp
@@ -0,0 +1,33 @@
+#include "decide/list_numbering.hpp"
+
+namespace gatetiller::decide {
+namespace {
+
+// Single answers with an older list are a common fault of name services; so many in a row, for so long, are not.
+constexpr int kRestartAnswers = 8;
+constexpr Micros kRestartSpan = 2 * kSecondMicros;
+
+}  // namespace
+
+bool ListNumbering::newer(std::uint32_t number) const {
+    return !held_ || static_cast<std::int32_t>(number - *held_) > 0;
+}
+
+ListVerdict ListNumbering::judge(std::uint32_t number, Micros asked, Micros now) {
+    if (newer(number)) return ListVerdict::newer;
+    if (number == *held_) {
+        older_answers_ = 0;
+        return ListVerdict::held;
+    }
+    if (asked < held_since_) return ListVerdict::outdated;
+    if (older_answers_++ == 0) older_since_ = now;
+    const bool restarted = older_answers_ >= kRestartAnswers && now - older_since_ >= kRestartSpan;
+    return restarted ? ListVerdict::restarted : ListVerdict::older;
+}
+
+void ListNumbering::hold(std::uint32_t number, Micros now) {
+    held_ = number, held_since_ = now;
+    older_answers_ = 0;
+}
+
+}  // namespace gatetiller::decide
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -120,24 +120,16 @@
            },
            [this](decide::Invariant i, Clients::Id c) { count(i, "client " + std::to_string(c)); }}),
       dns_(loop, kService, settings_.seed, {},
-           {[this](std::uint64_t n, std::vector<decide::ListedEngine> list) {
-                if (deps_.trace)
-                    deps_.trace("name service: list " + std::to_string(n) + " of " + std::to_string(list.size()) +
-                                " engines, held: " + list_text());
-                take_list(n, list);
-            },
-            [this](std::uint64_t n) {
-                if (deps_.trace) deps_.trace("name service: list " + std::to_string(n) + " again, held: " + list_text());
-                list_.confirm(n, loop_.now());
-            },
+           {[this](const roster::DnsSource::Heard& heard) { heard_list(heard); },
+            [this](std::uint32_t number) { return list_.confirm(number, loop_.now()); },
             [this](const std::string& why) {
                 if (deps_.trace) deps_.trace("name service: " + why + ", held: " + list_text());
                 ++bad_lists_;
             },
             [this](std::uint16_t id, int unanswered) {
-                if (deps_.trace)
-                    deps_.trace("name service: asked with id " + std::to_string(id) + ", unanswered before " +
-                                std::to_string(unanswered));
+                if (deps_.trace && unanswered > 0)
+                    deps_.trace("name service: asked again with id " + std::to_string(id) + ", unanswered before " +
+                                std::to_string(unanswered) + ", held: " + list_text());
             }}),
       guard_(settings_.module),
       wall_offset_(loop.wall() - loop.now()),
@@ -157,7 +149,7 @@
 Result<net::Address> Node::start() {
     if (!std::exchange(started_, true)) {
         driver_.start();
-        take_list(settings_.known_number, settings_.known);
+        take_change(list_.take(settings_.known_number, settings_.known, loop_.now(), wall_now()));
     }
     net::Address from = settings_.listen;
     from.port = 0;
@@ -188,7 +180,7 @@
     if (s.dns != settings_.dns) deps_.log("the name service is asked at " + s.dns.text() + " from now on");
     settings_.dns = s.dns;
     dns_.move(s.dns);
-    if (!s.known.empty()) take_list(s.known_number, s.known);
+    if (!s.known.empty()) take_change(list_.take(s.known_number, s.known, loop_.now(), wall_now()));
     if (s.sockets != settings_.sockets || s.memory_mb != settings_.memory_mb) {
         settings_.sockets = s.sockets, settings_.memory_mb = s.memory_mb;
         bounds_ = decide::bounds_of(s.sockets, s.memory_mb);
@@ -203,8 +195,20 @@
 
 // ---- The list of engines
 
-void Node::take_list(std::uint64_t number, const std::vector<decide::ListedEngine>& list) {
-    auto change = list_.take(number, list, loop_.now(), wall_now());
+void Node::heard_list(const roster::DnsSource::Heard& heard) {
+    const auto held = list_.number();
+    if (deps_.trace)
+        deps_.trace("name service: list " + std::to_string(heard.number) + " of " +
+                    std::to_string(heard.engines.size()) + " engines asked " +
+                    std::to_string((loop_.now() - heard.asked) / kMillisecond) + " ms ago, held: " + list_text());
+    auto change = list_.take(heard.number, heard.engines, loop_.now(), wall_now(), heard.asked);
+    if (heard.number < held && list_.number() == heard.number)
+        deps_.log("the name service's numbering has started anew: list " + std::to_string(held) + " was held, " +
+                  std::to_string(heard.number) + " is now");
+    take_change(std::move(change));
+}
+
+void Node::take_change(std::optional<ListChange> change) {
     if (!change) return;
     decide::LinkLimits limits;
     limits.connections = std::max<std::size_t>(1, bounds_.engines / 2);  // the pool bounds them all together
@@ -232,8 +236,7 @@
     std::vector<Attempt*> waiting;
     for (const auto& [id, r] : running_) {
         Attempt* const out = r->out();
-        const auto at = out ? list_.engines().find(out->engine) : list_.engines().end();
-        if (out && (at == list_.engines().end() || at->second.state != EngineState::on)) waiting.push_back(out);
+        if (out && list_.state(out->engine) != EngineState::on) waiting.push_back(out);
     }
     for (Attempt* a : waiting) recall(*a);
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -70,7 +70,8 @@
         std::deque<Micros> sent;    // attempts while it was cold, within the window of the slow start
     };
 
-    void take_list(std::uint64_t number, const std::vector<decide::ListedEngine>& list);
+    void heard_list(const roster::DnsSource::Heard& heard);
+    void take_change(std::optional<ListChange> change);  // of the list
     void note_change(const ListChange& change);
     Micros wall_now() const;
     void requested(Clients::Id client, thrift::Call call, Micros unseen);
--- a/src/roster/dns_source.cpp
+++ b/src/roster/dns_source.cpp
@@ -9,7 +9,8 @@
 namespace gatetiller::roster {
 namespace {
 
-constexpr std::size_t kIdBytes = 2;  // at the head of every message
+constexpr std::size_t kIdBytes = 2;    // at the head of every message
+constexpr std::size_t kPortsMost = 4;  // open at once
 
 // The list that an answer holds; an error where a service lacks its address.
 Result<std::vector<decide::ListedEngine>> list_of(const dns::Answer& answer) {
@@ -48,41 +49,67 @@
 DnsSource::~DnsSource() { loop_.cancel(timer_); }
 
 Result<bool> DnsSource::start(const net::Address& from, const net::Address& service) {
-    service_ = service;
+    from_ = from, service_ = service;
+    heard_at_ = loop_.now();
+    if (auto opened = open_port(); !opened) return opened;
+    ask();
+    return true;
+}
+
+Result<bool> DnsSource::open_port() {
     auto socket = loop_.datagrams(
-        from, [this](const net::Address& sender, std::string_view bytes) { took(sender, bytes); });
+        from_, [this](const net::Address& sender, std::string_view bytes) { took(sender, bytes); });
     if (!socket) return socket.failure();
-    socket_ = std::move(*socket);
-    ask();
+    ports_.push_back({std::move(*socket), loop_.now()});
     return true;
 }
 
+void DnsSource::close_old_ports() {
+    const Micros oldest = loop_.now() - times_.counts_for;
+    while (ports_.size() > 1 && (ports_.size() > kPortsMost || ports_.front().asked < oldest)) ports_.pop_front();
+}
+
 void DnsSource::move(const net::Address& service) {
     if (service == service_) return;
     service_ = service;
-    unanswered_ = 0;
+    unanswered_ = 0, heard_at_ = loop_.now();
     asked_.clear();  // what the old one still says counts no more
     last_good_.clear();
-    if (socket_) ask();
+    if (!ports_.empty()) ask();
 }
 
 void DnsSource::ask() {
-    loop_.cancel(timer_);
     const Micros now = loop_.now();
     while (!asked_.empty() && asked_.front().at < now - times_.counts_for) asked_.pop_front();
+    // Where this machine has no descriptor for another one, the old port has to do.
+    if (unanswered_ > 0 && unanswered_ % times_.tries_a_port == 0) (void)open_port();
+    close_old_ports();
     const auto id = static_cast<std::uint16_t>(random_.next());
     asked_.push_back({id, now});
-    socket_->send(service_, dns::srv_question(id, name_));
+    ports_.back().asked = now;
+    ports_.back().socket->send(service_, dns::srv_question(id, name_));
     if (events_.asked) events_.asked(id, unanswered_);
-    timer_ = loop_.after(jittered(patience()), [this] { ask(); });
     ++unanswered_;
+    ask_after(patience());
 }
 
-// A service that says nothing may be slow because of its questions: it is asked less and less often.
+void DnsSource::ask_after(Micros pause) {
+    loop_.cancel(timer_);
+    timer_ = loop_.after(jittered(pause), [this] { ask(); });
+}
+
+// Between two questions where all is well. A long list costs its service and this front little more than a usual one.
+Micros DnsSource::pace() const {
+    const auto longer = times_.every * static_cast<Micros>(answer_bytes_) / static_cast<Micros>(times_.usual_bytes);
+    const Micros usual = std::max(times_.every, std::min(longer, times_.every_most));
+    return round_trip_ > times_.every ? std::max(usual, times_.slow_every) : usual;
+}
+
+// With the question that has just gone out.
 Micros DnsSource::patience() const {
-    Micros span = std::max(times_.patience, round_trip_ + round_trip_ / 2);
-    for (int n = times_.quick_tries; n <= unanswered_ && span < times_.patience_most; ++n) span *= 2;
-    return std::min(span, times_.patience_most);
+    if (loop_.now() - heard_at_ > times_.full_pace) return std::max(pace(), times_.silent_every);
+    if (unanswered_ > times_.quick_tries) return pace();
+    return std::min(pace(), std::max(times_.patience, round_trip_ + round_trip_ / 2));
 }
 
 Micros DnsSource::jittered(Micros span) {
@@ -95,30 +122,29 @@
     const auto id = static_cast<std::uint16_t>(big_endian(bytes.substr(0, kIdBytes)));
     const auto asked = std::find_if(asked_.begin(), asked_.end(), [&](const Question& q) { return q.id == id; });
     if (asked == asked_.end()) return events_.bad("an answer under an id not asked with");
+    tell(asked->at, id, bytes);
+}
+
+void DnsSource::tell(Micros asked, std::uint16_t id, std::string_view bytes) {
     const auto content = bytes.substr(kIdBytes);
-    const bool same = content == last_good_;
-    std::vector<decide::ListedEngine> engines;
+    const bool same = content == last_good_ && events_.confirmed(last_serial_);
+    Heard heard;
     if (!same) {
         const auto answer = dns::read_answer(bytes, id, name_);
         if (!answer) return events_.bad(answer.error());
         auto list = list_of(*answer);
         if (!list) return events_.bad(list.error());
-        engines = std::move(*list);
-        last_good_ = content, last_serial_ = answer->serial;
+        heard = {answer->serial, asked, std::move(*list)};
+        last_good_ = content, last_serial_ = heard.number;
     }
-    round_trip_ = loop_.now() - asked->at;
-    asked_.erase(asked);
+    const bool latest = asked_.back().id == id;
+    std::erase_if(asked_, [&](const Question& q) { return q.id == id; });
+    heard_at_ = loop_.now(), round_trip_ = heard_at_ - asked;
     unanswered_ = 0;
-    loop_.cancel(timer_);
-    timer_ = loop_.after(jittered(pause_after(bytes.size())), [this] { ask(); });
-    if (same) events_.confirmed(last_serial_);
-    else events_.list(last_serial_, std::move(engines));
-}
-
-// So that a long list costs its service and this front little more than a usual one.
-Micros DnsSource::pause_after(std::size_t answer_bytes) const {
-    const auto longer = times_.every * static_cast<Micros>(answer_bytes) / static_cast<Micros>(times_.usual_bytes);
-    return std::max(times_.every, std::min(longer, times_.every_most));
+    answer_bytes_ = bytes.size();
+    // One to an older question says nothing of the latest.
+    if (latest) ask_after(std::max<Micros>(0, asked + pace() - heard_at_));
+    if (!same) events_.list(heard);
 }
 
 }  // namespace gatetiller::roster
