--- a/tests/faults/loop_faults_test.cpp
+++ b/tests/faults/loop_faults_test.cpp
@@ -304,5 +304,45 @@
     EXPECT_GE(*reader.waited, 150 * kMillisecond);
 }
 
+// What a connection that has just come up carries was decided before: a list that has come meanwhile is heard first,
+// also where the process stood still behind the poll that told of the connection.
+class HeardFirst : public LoopFaults, public net::StreamEvents {
+protected:
+    void on_data(Buffer& in) override { in.take(in.size()); }
+    void on_sending(std::size_t) override { order += "sending "; }
+    void on_closed(Closed) override {}
+    void expect_the_datagram_first() {
+        ASSERT_TRUE(await(loop, [&] { return order.size() >= std::strlen("sending datagram "); }));
+        EXPECT_EQ(order, "datagram sending ");
+    }
+    std::string order;
+    const net::Address any = *net::Address::parse("127.0.0.1:0");
+};
+
+TEST_F(HeardFirst, ADatagramThatIsThereWhenAConnectionComesUp) {
+    const auto stream = loop.connect(listener->address(), *this, 10 * kSecondMicros);
+    stream->send("request");
+    auto to = loop.datagrams(any, [&](const net::Address&, std::string_view) { order += "datagram "; });
+    auto from = loop.datagrams(any, [](const net::Address&, std::string_view) {});
+    ASSERT_TRUE(to && from);
+    (*from)->send((*to)->address(), "list");
+    expect_the_datagram_first();
+}
+
+TEST_F(HeardFirst, ADatagramThatComesWhileTheProcessStandsStillBehindAPoll) {
+    auto to = loop.datagrams(any, [&](const net::Address&, std::string_view) { order += "datagram "; });
+    auto from = loop.datagrams(any, [](const net::Address&, std::string_view) {});
+    ASSERT_TRUE(to && from);
+    control.stall_after_poll_us = 150'000;
+    std::thread service([&] {
+        while (control.stall_after_poll_us != 0) std::this_thread::yield();  // the stall has begun
+        (*from)->send((*to)->address(), "list");
+    });
+    const auto stream = loop.connect(listener->address(), *this, 10 * kSecondMicros);
+    stream->send("request");
+    expect_the_datagram_first();
+    service.join();
+}
+
 }  // namespace
 }  // namespace gatetiller::testing
--- a/tests/node/crossing_test.cpp
+++ b/tests/node/crossing_test.cpp
@@ -236,8 +236,12 @@
 struct Ends final : node::Exchange::Events {
     void on_note(NoteTopic, double) override {}
     void on_end(decide::ExchangeEnd e) override { how = e.how; }
-    std::optional<Request> request() override { return Request{"-", body}; }
+    std::optional<Request> request() override {
+        if (!allowed) return std::nullopt;
+        return Request{"-", body};
+    }
     void on_begin(std::uint64_t) override {}
+    bool allowed = true;
     std::optional<How> how;
     std::string body = std::string(40'000, 'x');
 };
@@ -317,6 +321,16 @@
     EXPECT_EQ(link->connections(), 0u);
 }
 
+// What the kernel still holds of requests given up, for an engine that has acknowledged nothing of it, would begin whenever
+// that engine reads again: seconds after its drain's grace, or after its client has left.
+TEST_F(DeafEngine, WhatTheKernelHoldsOfRequestsGivenUpNeverArrives) {
+    for (auto& e : exchanges) e.reset();
+    ASSERT_TRUE(await(loop, [&] { return link->connections() == 0; }));
+    ASSERT_TRUE(await(loop, [&] { return !peer->read(); }));
+    EXPECT_TRUE(peer->reset);
+    EXPECT_LT(peer->got.size(), 200'000u) << "more than its own buffer had taken";
+}
+
 // Its deadline is what is left when it goes out, also behind an engine that reads nothing for a while.
 TEST_F(DeafEngine, WhatWaitsBehindOneThatReadsNothingIsWrittenAnewWhenItGoesOut) {
     for (const auto& e : ends) e->body = std::string(40'000, 'y');
