What has come is heard before anything is written; what the kernel holds of what was given up is discarded

Stream::discard() closes with a reset (SO_LINGER 0), which makes the kernel drop what the peer has not acknowledged (SIOCOUTQ). An engine connection on which a request was given up is closed so where the kernel still holds bytes, in place of an undo and a FIN behind them; counted in the status line as discarded=.

--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -73,6 +73,9 @@
     virtual bool replace(SendId id, std::string bytes) = 0;
     // Nothing more goes out, not even the rest of what is written in part; what has come is still heard.
     virtual void drop_unsent() = 0;
+    // Nothing more arrives: as drop_unsent(), and what the kernel holds and the peer has not acknowledged is discarded when
+    // this is destroyed, which then resets the connection. Of what was acknowledged nothing is taken back.
+    virtual void discard() = 0;
     // Graceful close: what was given to send() goes out, then this side is shut (half-close). What still comes
     // is read and dropped, so that no reset takes away what the peer has not read yet; on_closed() once the
     // peer has ended too. For how long that is waited for is the owner's affair.
--- a/src/net/poll_loop.cpp
+++ b/src/net/poll_loop.cpp
@@ -124,17 +124,28 @@
 // ---- Turns
 
 void PollLoop::flush() {
-    // Callbacks of a flush may send more: that goes out in the next turn.
-    for (const auto& socket : std::exchange(to_flush_, {})) {
-        socket->flushing = false;
-        if (socket->may_write()) socket->write_out();
+    // Callbacks of a flush may send more: that goes out in the next turn. So does what is left when the process has stood
+    // still in the middle of this: what has come meanwhile is heard first.
+    const Micros began = now_;
+    const auto sockets = std::exchange(to_flush_, {});
+    for (auto at = sockets.begin(); at != sockets.end(); ++at) {
+        if (now_ - began >= kStall) {
+            to_flush_.insert(to_flush_.begin(), at, sockets.end());
+            return;
+        }
+        Socket& socket = **at;
+        socket.flushing = false;
+        if (socket.may_write()) socket.write_out();
+        refresh();
     }
 }
 
 // After a stall of this process, what it decided before may be overtaken by what has come meanwhile: that is heard
-// first. Once in a row, so that a busy loop still sends.
+// first. Once in a row, so that a busy loop still sends. The stall may also lie behind the last poll, which then knew nothing
+// of what came in it.
 bool PollLoop::hear_first(Micros since) {
-    if (now_ - since < kStall || std::exchange(heard_first_, true)) {
+    const bool stalled = now_ - since >= kStall || last_overrun_ >= kStall;
+    if (!stalled || std::exchange(heard_first_, true)) {
         heard_first_ = false;
         return false;
     }
@@ -201,6 +212,7 @@
     ready_.reserve(n);
     for (std::size_t i = 0, left = n; i < polled_.size() && left > 0; ++i)
         if (polled_[i].revents != 0) ready_.emplace_back(watched_[i], polled_[i].revents), --left;
+    std::stable_partition(ready_.begin(), ready_.end(), [](const auto& ready) { return ready.first->heard_first(); });
     // What has come is heard before any timer rings: after a stall of this process, an answer that is already
     // there must not lose against its time-out.
     auto ready = std::exchange(ready_, {});
--- a/src/net/poll_socket.cpp
+++ b/src/net/poll_socket.cpp
@@ -69,14 +69,14 @@
     loop.cancel(std::exchange(connect_timer, 0));
     update_wanted();
     if (owner) owner->on_connected();
-    if (may_write()) write_out();
+    if (may_write()) write_soon();
 }
 
 // ---- Reading
 
 void PollLoop::Socket::on_ready(short ready) {
     if (connecting) return finish_connecting();
-    if (ready & POLLOUT) write_out();
+    if ((ready & POLLOUT) && may_write()) write_soon();
     if (fd >= 0 && (ready & (POLLIN | POLLHUP | POLLERR))) read_in();
 }
 
@@ -176,7 +176,7 @@
             const auto kept = weak.lock();
             if (!kept) return;
             write_timer = 0;
-            if (may_write()) write_out();
+            if (may_write()) write_soon();
         });
     }
     update_wanted();
@@ -185,6 +185,11 @@
 void PollLoop::Socket::send_later(std::string bytes) {
     pieces.push_back({++last_send, bytes.size(), false});
     out.append(std::move(bytes));
+    write_soon();
+}
+
+// Never in the middle of a turn: what else has come in it may still take back what waits here.
+void PollLoop::Socket::write_soon() {
     if (std::exchange(flushing, true)) return;
     loop.to_flush_.push_back(std::static_pointer_cast<Socket>(shared_from_this()));
 }
@@ -209,6 +214,12 @@
     update_wanted();
 }
 
+void PollLoop::Socket::discard() {
+    drop_unsent();
+    const linger at_once{1, 0};  // close() resets the connection, and the kernel sends nothing more of what it holds
+    if (fd >= 0) setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 void PollLoop::Socket::count_written(std::size_t n) {
     out.take(n);
     auto at = pieces.begin();
@@ -275,7 +286,7 @@
 
 void PollLoop::Socket::on_resumed() {
     if (send_failed && reading) read_in();
-    else if (may_write()) write_out();
+    else if (may_write()) write_soon();
 }
 
 void PollLoop::Socket::end(Closed how) {
--- a/src/net/poll_watched.hpp
+++ b/src/net/poll_watched.hpp
@@ -20,6 +20,8 @@
     Watched& operator=(const Watched&) = delete;
     virtual void on_ready(short events) = 0;
     virtual short wanted() const { return POLLIN; }  // the events that it is polled for
+    // Whether it is heard before all else that came up in the same poll: what it tells may forbid what others do next.
+    virtual bool heard_first() const { return false; }
     virtual void on_resumed() {}                     // a pause is over
 
     void watch() { loop.watch(shared_from_this(), wanted()); }
@@ -57,6 +59,7 @@
 
     // Writing
     void write_out();
+    void write_soon();  // at the beginning of the next turn, as everything is written
     void write_again_later();
     void send_later(std::string bytes);
     Written written(SendId id) const;
@@ -64,6 +67,7 @@
     bool take_back(SendId id);
     bool replace(SendId id, const std::string& bytes);
     void drop_unsent();
+    void discard();
     void end_after_reading();
     void finish();
 
@@ -111,6 +115,7 @@
 struct PollLoop::DatagramSocket final : Watched {
     using Watched::Watched;
     void on_ready(short) override;
+    bool heard_first() const override { return true; }
 
     Address address;
     Datagrams::Received received;
@@ -121,6 +126,7 @@
 struct PollLoop::SignalDescriptor final : Watched {
     using Watched::Watched;
     void on_ready(short) override;
+    bool heard_first() const override { return true; }
     std::function<void(int)> then;
 };
 
@@ -136,6 +142,7 @@
     bool take_back(SendId id) override { return socket_->take_back(id); }
     bool replace(SendId id, std::string bytes) override { return socket_->replace(id, bytes); }
     void drop_unsent() override { socket_->drop_unsent(); }
+    void discard() override { socket_->discard(); }
     void finish() override { socket_->finish(); }
     bool read_now() override;
     void read(bool on) override;
--- a/src/net/tap.cpp
+++ b/src/net/tap.cpp
@@ -27,6 +27,7 @@
     void finish() override { below_->finish(); }
     bool replace(SendId, std::string) override { return false; }
     void drop_unsent() override { below_->drop_unsent(); }
+    void discard() override { below_->discard(); }
     bool read_now() override { return below_->read_now(); }
     void read(bool on) override { below_->read(on); }
     Micros starved() const override { return below_->starved(); }
--- a/src/node/engine_link.cpp
+++ b/src/node/engine_link.cpp
@@ -224,9 +224,17 @@
     // Closes what is of no further use. False: this connection is no more.
     bool tidy() {
         if (!retired || !open.empty()) return true;
+        if (holds_unacknowledged()) discard();
         link.over(*this);
         return false;
     }
+    // Whether the kernel still holds bytes for an engine that may be cut off, or read nothing, for long.
+    bool holds_unacknowledged() const { return stream && stream->unacknowledged().value_or(0) > 0; }
+    // Of what was given up nothing may begin any more. A reset gives up as much as an `undo` does.
+    void discard() {
+        ++link.pool_.discarded;
+        stream->discard();
+    }
     void spoil(const char* why) {
         ++link.pool_.spoilt;
         end_all(LinkEnd::broken, false, why);
@@ -244,6 +252,7 @@
             e->on_ = nullptr;
         }
         unsent.clear();
+        if (!stream_over && holds_unacknowledged()) discard();
         stream.reset();
         link.over(*this);  // `this` is no more: only what was copied counts from here
         for (const auto& [events, how] : told) {
--- a/src/node/engine_link.hpp
+++ b/src/node/engine_link.hpp
@@ -25,6 +25,7 @@
     std::uint64_t opened = 0, refused = 0, broken = 0, spoilt = 0, unasked = 0;
     std::uint64_t lacked = 0;   // connections that this machine had no descriptor, port or the like for
     std::uint64_t renewed = 0;  // requests that waited to go out and were written anew
+    std::uint64_t discarded = 0;  // connections reset since the kernel held what was given up
     std::function<void(const std::string&)> trace;  // a line for each connection's beginning and end; may be absent
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -639,6 +639,7 @@
            " opened=" + std::to_string(pool_.opened) + " no_connection=" + std::to_string(pool_.refused) +
            " lacked=" + std::to_string(pool_.lacked) + " renewed=" + std::to_string(pool_.renewed) +
            " broken=" + std::to_string(pool_.broken) + " spoilt=" + std::to_string(pool_.spoilt) +
+           " discarded=" + std::to_string(pool_.discarded) +
            " unasked=" + std::to_string(pool_.unasked) + " bad_lists=" + std::to_string(bad_lists_) +
            (deps_.log_lines_lost ? " log_lost=" + std::to_string(deps_.log_lines_lost()) : "") +
            " connections=" + std::to_string(pool_.open) + " attempts_out=" + std::to_string(out) +
--- a/src/sim/virtual_loop.cpp
+++ b/src/sim/virtual_loop.cpp
@@ -122,6 +122,7 @@
         return false;
     }
     void drop_unsent() override { end_->early.clear(), end_->finishing = true; }
+    void discard() override { drop_unsent(); }  // bytes on their way arrive: nothing here holds them
     bool read_now() override {
         if (const auto kept = end_; kept->open) kept->deliver();
         return true;
