Red: no permit at the first byte; unacknowledged bytes outlive a drain's grace and their client

A request written down less than 10 ms ago begins though it may not any more; one that an engine has not acknowledged stays with the kernel past the grace of that engine's drain, and after its client has left, where attempts may not be called off: it is 'refused' only after 9 s, at the end of its time.

--- a/tests/node/crossing_test.cpp
+++ b/tests/node/crossing_test.cpp
@@ -331,6 +331,78 @@
     EXPECT_LT(peer->got.size(), 200'000u) << "more than its own buffer had taken";
 }
 
+// The permit of a request counts when its first byte goes to the kernel, however shortly before it was written down.
+TEST(EngineLinkTest, ARequestThatMayNotBeginAnyMoreWhenItsConnectionComesUpNeverDoes) {
+    net::PollLoop loop;
+    RawSocket raw;
+    node::LinkPool pool;
+    node::EngineLink link(loop, raw.listen(16), {.connections = 1, .streams = 10}, pool);
+    Ends first, second;
+    const auto a = link.ask(permit(), "id-a.", first), b = link.ask(permit(), "id-b.", second);
+    first.allowed = false;
+    std::unique_ptr<RawSocket> peer;
+    ASSERT_TRUE(await(loop, [&] { return (peer = raw.accept()) != nullptr; }));
+    ASSERT_TRUE(await(loop, [&] {
+        peer->read();
+        return first.how && peer->got.find("id-b.") != std::string::npos;
+    }));
+    EXPECT_EQ(first.how, How::unsent);
+    EXPECT_EQ(peer->got.find("id-a."), std::string::npos);
+}
+
+// An engine that reads nothing, and so acknowledges little: most of a large request stays with this machine's kernel. Its
+// attempts may not be called off, so that nothing but the rule itself ends them.
+class UnacknowledgedRequest : public Crossing {
+protected:
+    UnacknowledgedRequest() {
+        settings.module.may_cancel = false;
+        settings.module.drain_grace = 300 * kMillisecond;
+        raw.receive_little();
+        address = raw.listen(16);
+    }
+    void begin_one() {
+        list("s-raw", address);
+        start();
+        auto a = ask("load");
+        a.sql += std::string(20'000, 'x');
+        seq = client().ask(a);
+        ASSERT_TRUE(until([&] { return (peer = raw.accept()) != nullptr; }));
+        ASSERT_TRUE(until([&] { return log.find(a.trace + " load attempt 0 at s-raw begins") != std::string::npos; }));
+        began = loop.now();
+    }
+    // Nobody reads meanwhile: what has been discarded never arrives.
+    void expect_discarded_by(Micros longest) {
+        ASSERT_TRUE(until([&] { return node->status().find("discarded=1") != std::string::npos; }, longest)) << node->status();
+        ASSERT_TRUE(until([&] { return !peer->read(); }));
+        EXPECT_TRUE(peer->reset);
+        EXPECT_LT(peer->got.size(), 20'000u);
+    }
+    RawSocket raw;
+    net::Address address;
+    std::unique_ptr<RawSocket> peer;
+    std::int32_t seq = 0;
+    Micros began = 0;
+};
+
+TEST_F(UnacknowledgedRequest, IsDiscardedBeforeTheGraceOfItsEnginesDrainIsOver) {
+    begin_one();
+    engine("s-2");
+    list("s-raw", address, true);
+    ASSERT_TRUE(until([&] { return log.find("engine s-raw drains") != std::string::npos; }));
+    expect_discarded_by(settings.module.drain_grace + 50 * kMillisecond);
+    auto& c = *clients.back();
+    ASSERT_TRUE(until([&] { return c.open() == 0; }));
+    EXPECT_EQ(c.got().at(seq).how, "served");
+    EXPECT_LT(loop.now() - began, 3 * kSecondMicros);
+}
+
+TEST_F(UnacknowledgedRequest, IsDiscardedWhenItsClientLeaves) {
+    begin_one();
+    clients.back()->give_up(seq);
+    expect_discarded_by(100 * kMillisecond);
+    ASSERT_TRUE(until([&] { return node->requests() == 0; }));
+}
+
 // Its deadline is what is left when it goes out, also behind an engine that reads nothing for a while.
 TEST_F(DeafEngine, WhatWaitsBehindOneThatReadsNothingIsWrittenAnewWhenItGoesOut) {
     for (const auto& e : ends) e->body = std::string(40'000, 'y');
