A request begins only if it still may when its first byte goes out; unacknowledged ones end with a drain's grace

Now the guard is asked for each request right before its first byte, with the list of that moment. 100 ms before a drain's grace is over, connections on which the kernel holds unacknowledged bytes of requests to that engine are reset; so is one whose client has left. A request given up of which nothing was heard for 300 ms ends its connection with a reset too, where nothing else is out there: what a proxy or a cut path holds of it goes with the connection.

--- a/src/node/engine_link.cpp
+++ b/src/node/engine_link.cpp
@@ -21,6 +21,9 @@
 // first bytes is no longer true.
 constexpr Micros kBegunMost = 120 * kMillisecond;
 
+// Without a word for so long a request may lie unread at a proxy or an engine that hangs.
+constexpr Micros kSilent = 300 * kMillisecond;
+
 const resp::Limits kAnswer{4, 8 * 1024};
 
 std::optional<Report> report_of(std::string_view gauges) {
@@ -99,13 +102,17 @@
                 return cut_off("its first part had gone out too long ago");
             waiting.erase(waiting.begin());
         }
-        for (const Exchange* e : waiting) e->events_.on_begin(number);
         std::size_t bytes = 0;
-        for (auto e = waiting.begin(); e != waiting.end() && bytes < most; ++e) bytes += renew(**e);
+        for (auto e = waiting.begin(); e != waiting.end() && bytes < most; ++e) bytes += prepare(**e);
     }
     void on_sent() override { unsent.clear(); }
 
-    // Its size as it will go out.
+    // Its size as it will go out; nothing where it may not.
+    std::size_t prepare(Exchange& e) {
+        if (e.events_.may_begin(number)) return renew(e);
+        withdraw(e);
+        return 0;
+    }
     std::size_t renew(Exchange& e) {
         if (link.loop_.now() - e.written_at_ < kFresh) return e.size_;
         if (const auto request = e.events_.request()) {
@@ -136,9 +143,14 @@
     void write(Exchange& e, const Exchange::Events::Request& request) {
         auto bytes = resp::array({"do", e.id_, request.fields, request.body});
         e.size_ = bytes.size(), e.written_at_ = link.loop_.now();
-        e.asked_ = stream->send(std::move(bytes));
+        e.asked_ = say(std::move(bytes));
+        e.ends_at_ = given;
         unsent.push_back(&e);
     }
+    net::SendId say(std::string bytes) {
+        given += bytes.size();
+        return stream->send(std::move(bytes));
+    }
     // Of a request a part has gone out, and the rest must not follow it. What else is open here ends too, each with what
     // that proves; in a later turn, as the caller is still at it.
     void cut_off(const char* why) {
@@ -157,6 +169,7 @@
         const auto found = open.find(id);
         if (found == open.end()) return ++link.pool_.unasked, true;
         Exchange& e = *found->second;
+        e.heard_ = true;
         ExchangeEnd end;
         end.report = report_of(fields.find("gauges"));
         if (word == "INFO") {
@@ -177,7 +190,7 @@
             e.served_.needed_mb = to_number<double>(fields.find("wanted")).value_or(0);
             e.served_.report = end.report;
             for (std::size_t n = 1; n < e.pages_.pages(); ++n)
-                stream->send(resp::array({"page", id, std::to_string(n)}));
+                say(resp::array({"page", id, std::to_string(n)}));
         } else if (word == "PART") {
             switch (e.pages_.take(to_number<std::size_t>(fields.find("at")).value_or(0), body)) {
                 case decide::ResultPages::Took::page: break;
@@ -217,6 +230,7 @@
     // Whatever still comes under its id must not count for another attempt, and one whose answer never comes serves no
     // further use.
     void give_up(Exchange& e) {
+        gave_up_silent = gave_up_silent || silent(e);
         release(e);
         retired = true;
         tidy();
@@ -224,12 +238,20 @@
     // Closes what is of no further use. False: this connection is no more.
     bool tidy() {
         if (!retired || !open.empty()) return true;
-        if (holds_unacknowledged()) discard();
+        if (holds_unacknowledged() || gave_up_silent) discard();
         link.over(*this);
         return false;
     }
     // Whether the kernel still holds bytes for an engine that may be cut off, or read nothing, for long.
     bool holds_unacknowledged() const { return stream && stream->unacknowledged().value_or(0) > 0; }
+    // The same of a request: of what the kernel holds, what was given to it later is the last.
+    bool holds_unacknowledged(const Exchange& e) const {
+        const std::size_t behind = given - std::min(given, e.ends_at_);
+        const std::size_t behind_in_kernel = behind - std::min(behind, unsent_bytes());
+        return stream && stream->unacknowledged().value_or(0) > behind_in_kernel;
+    }
+    // Nothing has been heard of it for so long that it may lie unread somewhere on its way, acknowledged or not.
+    bool silent(const Exchange& e) const { return !e.heard_ && link.loop_.now() - e.written_at_ > kSilent; }
     // Of what was given up nothing may begin any more. A reset gives up as much as an `undo` does.
     void discard() {
         ++link.pool_.discarded;
@@ -272,6 +294,8 @@
     std::set<std::string> ids;  // ever asked here: a second attempt under one of them goes elsewhere
     Micros used;
     bool retired = false;
+    bool gave_up_silent = false;  // a request of which nothing had been heard
+    std::size_t given = 0;        // bytes given to the stream in all
     std::shared_ptr<char> alive = std::make_shared<char>();
 };
 
@@ -293,9 +317,15 @@
     return true;
 }
 
+bool Exchange::discard_unacknowledged() {
+    if (!on_ || on_->open.size() != 1 || !on_->holds_unacknowledged(*this)) return false;
+    on_->give_up(*this);  // which closes the connection, as nothing else is open there
+    return true;
+}
+
 Exchange::~Exchange() {
     if (!on_ || withhold()) return;
-    on_->stream->send(resp::array({pages_.begun() ? "forget" : "undo", id_}));
+    on_->say(resp::array({pages_.begun() ? "forget" : "undo", id_}));
     on_->give_up(*this);
 }
 
@@ -312,7 +342,7 @@
 
 void Exchange::priority(int level) {
     if (on_ && !pages_.begun())
-        changes_.push_back(on_->stream->send(resp::array({"bump", id_, std::to_string(level)})));
+        changes_.push_back(on_->say(resp::array({"bump", id_, std::to_string(level)})));
 }
 
 EngineLink::EngineLink(net::Loop& loop, net::Address address, decide::LinkLimits limits, LinkPool& pool)
@@ -327,6 +357,19 @@
     while (!connections_.empty()) connections_.front()->end_all(LinkEnd::broken, false, why);
 }
 
+void EngineLink::end_unacknowledged(const char* why) {
+    std::vector<Exchange::Connection*> stuck;
+    for (const auto& c : connections_) {
+        const bool holds = std::any_of(c->open.begin(), c->open.end(),
+                                       [&](const auto& open) { return c->holds_unacknowledged(*open.second); });
+        if (holds) stuck.push_back(c.get());
+    }
+    for (auto* const c : stuck) {
+        const bool still = std::any_of(connections_.begin(), connections_.end(), [&](const auto& kept) { return kept.get() == c; });
+        if (still) c->end_all(LinkEnd::broken, false, why);
+    }
+}
+
 std::size_t EngineLink::open() const {
     std::size_t n = 0;
     for (const auto& c : connections_) n += c->open.size();
--- a/src/node/engine_link.hpp
+++ b/src/node/engine_link.hpp
@@ -39,15 +39,16 @@
         virtual void on_note(NoteTopic topic, double value) = 0;
         virtual void on_end(
             decide::ExchangeEnd end) = 0;  // the last call; the exchange may be destroyed in it
-        // The request as it stands now, with the time that is left; nothing where it may not begin any more. Asked
-        // again for one that waits, when it is about to go out.
+        // The request as it stands now, with the time that is left; nothing where there is none. Asked again for one
+        // that has waited.
         struct Request {
             std::string fields;  // as on the wire
             std::string_view body;
         };
         virtual std::optional<Request> request() = 0;
-        // Its first bytes are about to go to the kernel.
-        virtual void on_begin(std::uint64_t connection) = 0;
+        // Its first bytes are about to go to the kernel on that connection. False: it may not begin any more, and ends
+        // unsent.
+        virtual bool may_begin(std::uint64_t connection) = 0;
     };
     ~Exchange();
     Exchange(const Exchange&) = delete;
@@ -59,6 +60,10 @@
     // The same, and of a request that has gone out in part the rest is held back too, at the price of its connection: an
     // engine runs nothing less than a whole one.
     bool withhold();
+    // Ends its connection with a reset where the kernel holds bytes of it that the engine has not acknowledged, and nothing
+    // else is out there: they never arrive. Whether that was so; then it is over without a further call. It may have run all
+    // the same, as acknowledgements get lost too.
+    bool discard_unacknowledged();
     // For logs: its connection and how far the request has gone out.
     std::string state() const;
 
@@ -72,6 +77,8 @@
     Connection* on_ = nullptr;  // none: it is over
     net::SendId asked_ = 0;             // its request among what its connection sends
     std::size_t size_ = 0;              // of that request
+    std::size_t ends_at_ = 0;           // in all that its connection was given to send
+    bool heard_ = false;                // its engine has said something of it
     Micros written_at_ = 0;             // when the request was written down; its deadline counts from then
     std::vector<net::SendId> changes_;  // of its priority, likewise
     decide::ResultPages pages_;
@@ -83,6 +90,8 @@
     EngineLink(net::Loop& loop, net::Address address, decide::LinkLimits limits, LinkPool& pool);
     ~EngineLink();  // gives up what is open without a word to its owners
     void end_all(const char* why);  // ends what is open, each with what that proves
+    // The same, of the connections on which the kernel holds bytes that the engine has not acknowledged.
+    void end_unacknowledged(const char* why);
     EngineLink(const EngineLink&) = delete;
     EngineLink& operator=(const EngineLink&) = delete;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,6 +20,7 @@
 constexpr Micros kTick = kSecondMicros;
 constexpr int kStatusTicks = 5;
 constexpr Micros kDrainLook = 20 * kMillisecond;
+constexpr Micros kDiscardBefore = 100 * kMillisecond;  // the end of a drained engine's grace
 constexpr std::size_t kEnginesShown = 40;  // in the status
 constexpr double kWorkLearnt = 0.02;       // of a request, for the mean work
 
@@ -61,7 +62,7 @@
     void on_note(NoteTopic topic, double value) override;
     void on_end(decide::ExchangeEnd end) override { node.on_end(*this, std::move(end)); }
     std::optional<Request> request() override;
-    void on_begin(std::uint64_t connection) override;
+    bool may_begin(std::uint64_t connection) override;
 
     Node& node;
     Running& running;
@@ -143,7 +144,7 @@
 }
 
 Node::~Node() {
-    for (const auto timer : {free_timer_, tick_timer_, drain_timer_}) loop_.cancel(timer);
+    for (const auto timer : {free_timer_, tick_timer_, drain_timer_, discard_timer_}) loop_.cancel(timer);
 }
 
 Result<net::Address> Node::start() {
@@ -239,6 +240,34 @@
         if (out && list_.state(out->engine) != EngineState::on) waiting.push_back(out);
     }
     for (Attempt* a : waiting) recall(*a);
+    discard_for_drained();
+}
+
+// What the kernel still holds for a drained engine would begin after its grace. Its connections to it are reset shortly
+// before that, and what was out there is tried again by the new list where it may be.
+void Node::discard_for_drained() {
+    const Micros grace = std::max<Micros>(0, settings_.module.drain_grace - kDiscardBefore);
+    std::vector<EngineId> due;
+    Micros next = 0;
+    for (auto& [id, e] : engines_) {
+        if (!e.to_discard || e.draining_since == 0) continue;
+        const Micros at = e.draining_since + grace;
+        if (at > loop_.now()) {
+            next = next == 0 ? at : std::min(next, at);
+            continue;
+        }
+        e.to_discard = false;
+        due.push_back(id);
+    }
+    loop_.cancel(std::exchange(discard_timer_, 0));
+    if (next > 0)
+        discard_timer_ = loop_.after(next - loop_.now(), [this] {
+            discard_timer_ = 0;
+            discard_for_drained();
+        });
+    for (const EngineId id : due)
+        if (const auto found = engines_.find(id); found != engines_.end() && found->second.link)
+            found->second.link->end_unacknowledged("the engine drains and has not acknowledged what was sent");
 }
 
 // The wall clock as it stood at the start, moved on by the monotonic one: a later step of it changes nothing.
@@ -252,7 +281,7 @@
         e.kind = entry.kind, e.zone = entry.zone, e.cell = entry.cell, e.came_up = entry.came_up;
         const bool drains = entry.state != EngineState::on;
         if (!drains) e.draining_since = 0;
-        else if (e.draining_since == 0) e.draining_since = loop_.now();
+        else if (e.draining_since == 0) e.draining_since = loop_.now(), e.to_discard = true;
         const char* const state = entry.state == EngineState::on       ? " is on"
                                   : entry.state == EngineState::fading ? " drains"
                                                                        : " is gone";
@@ -325,7 +354,11 @@
     driver_.post(Gone{r->id});
     if (planted("send_after_client_left")) send_again(*r);
     // Whether or not the module may call it off: nothing begins for a client that has gone.
-    if (Attempt* const out = r->out()) withhold(*out);
+    if (Attempt* const out = r->out()) {
+        withhold(*out);
+        if (!out->over && out->exchange && out->exchange->discard_unacknowledged())
+            complete(*out, Outcome::econnreset, r->life.finished());
+    }
     if (r->life.freeable()) free_later(r->id);
 }
 
@@ -475,12 +508,20 @@
            " list_age_ms=" + std::to_string((loop_.now() - list_.heard()) / kMillisecond);
 }
 
-void Node::Attempt::on_begin(std::uint64_t connection) {
-    if (!node.deps_.trace) return;
-    const auto engine_facts = node.facts_of(*this).target;
-    node.deps_.trace(node.text_of(*this) + " begins on connection " + std::to_string(connection) +
-                     " waited_ms=" + std::to_string((node.loop_.now() - sent) / kMillisecond) + " draining_ms=" +
-                     std::to_string(engine_facts.draining_for / kMillisecond) + " " + node.list_text());
+// By what holds at this moment and not when the attempt was decided: a connection that came up late, or a stall of this
+// process, lies between the two.
+bool Node::Attempt::may_begin(std::uint64_t connection) {
+    auto facts = node.facts_of(*this);
+    facts.attempt_out = false;  // it is the one that is out
+    const bool drained = node.list_.state(engine) != EngineState::on && !planted("send_past_drain_grace");
+    const auto forbidden = node.guard_.forbids(facts, *running.cls, std::nullopt);
+    const bool may = !over && !drained && (!forbidden || planted("guard_off") || planted("send_after_client_left"));
+    if (node.deps_.trace)
+        node.deps_.trace(node.text_of(*this) + (may ? " begins" : " may not begin any more") + " on connection " +
+                         std::to_string(connection) + (forbidden ? std::string(": ") + decide::name_of(*forbidden) : "") +
+                         " waited_ms=" + std::to_string((node.loop_.now() - sent) / kMillisecond) + " draining_ms=" +
+                         std::to_string(facts.target.draining_for / kMillisecond) + " " + node.list_text());
+    return may;
 }
 
 // ---- What the guard of attempts is told
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -67,12 +67,14 @@
         std::int64_t cell = 0;
         Micros came_up = 0;         // on the loop's clock; 0: long ago
         Micros draining_since = 0;  // when this node was told; 0: it does not drain
+        bool to_discard = false;    // it drains, and what the kernel holds for it has not been looked at yet
         std::deque<Micros> sent;    // attempts while it was cold, within the window of the slow start
     };
 
     void heard_list(const roster::DnsSource::Heard& heard);
     void take_change(std::optional<ListChange> change);  // of the list
     void note_change(const ListChange& change);
+    void discard_for_drained();
     Micros wall_now() const;
     void requested(Clients::Id client, thrift::Call call, Micros unseen);
     void given_up(Clients::Id client, std::int32_t seq);
@@ -126,7 +128,7 @@
     decide::RestartTimes restart_;
     Micros draining_since_ = 0;
     std::function<void()> drained_;
-    net::TimerId free_timer_ = 0, tick_timer_ = 0, drain_timer_ = 0;
+    net::TimerId free_timer_ = 0, tick_timer_ = 0, drain_timer_ = 0, discard_timer_ = 0;
     int ticks_ = 0;
 };
 
--- a/tests/node/crossing_test.cpp
+++ b/tests/node/crossing_test.cpp
@@ -236,11 +236,8 @@
 struct Ends final : node::Exchange::Events {
     void on_note(NoteTopic, double) override {}
     void on_end(decide::ExchangeEnd e) override { how = e.how; }
-    std::optional<Request> request() override {
-        if (!allowed) return std::nullopt;
-        return Request{"-", body};
-    }
-    void on_begin(std::uint64_t) override {}
+    std::optional<Request> request() override { return Request{"-", body}; }
+    bool may_begin(std::uint64_t) override { return allowed; }
     bool allowed = true;
     std::optional<How> how;
     std::string body = std::string(40'000, 'x');
