--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -556,6 +556,7 @@
     how.how = end.how == Call::not_sent       ? How::not_sent
               : end.how == Call::connect_late ? How::connect_late
               : end.how == Call::lacked_here  ? How::lacked_here
+              : end.how == Call::withdrawn    ? How::lacked_here
               : end.how == Call::turned_away  ? How::turned_away
               : end.how == Call::late         ? How::late
                                               : How::lost;
--- a/src/statement/engine_call.cpp
+++ b/src/statement/engine_call.cpp
@@ -15,7 +15,8 @@
     return path == std::string::npos ? "" : uri.substr(path);
 }
 
-void EngineCall::start(http::Headers headers, std::string sql) {
+void EngineCall::start(http::Headers headers, std::string sql, std::function<bool()> may_begin) {
+    (void)may_begin;
     state_ = State::posting;
     headers_ = headers;
     http::Request post{"POST", "/v1/statement", 1, std::move(headers), std::move(sql), {}};
@@ -116,6 +117,8 @@
     call_.cancel();
 }
 
+bool EngineCall::recall() { return false; }
+
 void EngineCall::drop() {
     loop_.cancel(std::exchange(again_, 0));
     state_ = State::over;
--- a/src/statement/engine_call.hpp
+++ b/src/statement/engine_call.hpp
@@ -16,6 +16,7 @@
         not_sent,      // the POST never reached the engine
         connect_late,  // the same
         lacked_here,   // the same, for want of something at this machine
+        withdrawn,     // the same, as it might not begin any more when its first byte was to go out
         turned_away,   // the POST was answered with a status instead of a document: `status`
         lost,          // the connection broke or the answer made no sense
         late,          // no answer in time
@@ -47,11 +48,16 @@
     EngineCall(const EngineCall&) = delete;
     EngineCall& operator=(const EngineCall&) = delete;
 
-    void start(http::Headers headers, std::string sql);
+    // `may_begin` is asked right before the first byte goes out; false: nothing does.
+    void start(http::Headers headers, std::string sql, std::function<bool()> may_begin = nullptr);
     void next();
     void ask_again();  // as after a lost answer: the poll in flight is let go and sent anew
-    // Asks the engine to stop. If the POST is still unanswered, the DELETE follows its answer.
+    // Asks the engine to stop. If the POST is still unanswered, the DELETE follows its answer; if nothing of it has gone out
+    // yet, nothing does.
     void cancel();
+    // Takes the statement back where nothing of it has gone out yet: then it never ran, and the call is over without a
+    // word. Whether that was so.
+    bool recall();
     void drop();  // ends here without a word to the engine
     bool over() const { return state_ == State::over; }
 
