Serve fronts: nothing begins at an engine that drains, or for a client that left, once its connection is up

An attempt that never went out no longer leaves the statement's life with an attempt out (only 'skipped' did not end it). Test drop_event: a front that is deaf to drains in the checker's test is deaf as a whole, the new permit included.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -77,7 +77,7 @@
     Micros sent;
     decide::Notes notes;
     net::TimerId timer = 0;
-    bool over = false, ever_ran = false;
+    bool out = false, over = false, ever_ran = false;  // out: it is the one that the statement's life counts
     decide::AttemptFacts facts;
     std::int64_t row_bytes = 0;
     std::string engine_id, engine_name, engine_kind;
@@ -121,7 +121,7 @@
       driver_(loop, deps_.seed, settings_.module, [this](const Action& a) { carry_out(a); }),
       engines_(
           loop, settings_,
-          {[this](ListChange c) { post(std::move(c)); }, [this](const std::string& t) { deps_.log(t); }}),
+          {[this](ListChange c) { engines_changed(std::move(c)); }, [this](const std::string& t) { deps_.log(t); }}),
       statements_(loop, settings_.statements, *this, deps_.entropy),
       server_(loop, settings_.server,
               [this](http::Request& r, http::Server::Reply reply) { handle(r, std::move(reply)); }) {}
@@ -357,6 +357,27 @@
     if (!deps_.drop_event || !deps_.drop_event(event)) driver_.post(std::move(event));
 }
 
+// A list, or an engine's own word. What waits to go out to one that takes nothing new is taken back: it would begin once its
+// connection is up.
+void Front::engines_changed(ListChange change) {
+    Event event = change;
+    if (deps_.drop_event && deps_.drop_event(event)) return;
+    for (const EngineEntry& entry : change.engines) {
+        if (entry.state == EngineState::on) draining_engines_.erase(entry.id);
+        else draining_engines_.emplace(entry.id, loop_.now());
+    }
+    if (change.form == ListForm::total)  // what it lacks is gone
+        for (const auto& [id, engine] : engines_.all())
+            if (engine->watch.entry().state == EngineState::off) draining_engines_.emplace(id, loop_.now());
+    driver_.post(std::move(event));
+    std::vector<Attempt*> waiting;
+    for (const auto& [id, r] : running_)
+        if (Attempt* const out = r->out(); out && out->call && draining_engines_.contains(out->engine))
+            waiting.push_back(out);
+    for (Attempt* a : waiting)
+        if (!a->over && a->call->recall()) complete(*a, Outcome::skipped, a->running.life.finished());
+}
+
 void Front::carry_out(const Action& action) {
     std::visit(Overloaded{[&](const Send& a) { send(a); },
                           [&](const Terms& a) {
@@ -424,7 +445,7 @@
                   std::to_string(a.number));
         return complete(a, Outcome::skipped, r->life.finished());
     }
-    r->life.take(Happening::sent);
+    a.out = r->life.take(Happening::sent);
     if (r->first_sent == 0) r->first_sent = a.sent;
     Engine* engine = engines_.find(action.engine);
     if (!engine) return complete(a, Outcome::econnrefused, false);
@@ -450,19 +471,26 @@
         complete(a, Outcome::etimedout, a.running.life.finished());
     });
     a.call = std::make_unique<statement::EngineCall>(loop_, *engine->client, settings_.calls, a);
-    a.call->start(std::move(headers), r->submission.sql);
+    a.call->start(std::move(headers), r->submission.sql, [this, &a] { return may_begin(a); });
+}
+
+// By what holds when its first byte is to go out: its connection may have come up long after the attempt was decided.
+bool Front::may_begin(const Attempt& a) {
+    if (a.over || draining_engines_.contains(a.engine)) return false;
+    const auto broken = forbidden(a, true);
+    return !broken;
 }
 
 // What the guard of attempts says of one that the module chose.
-std::optional<decide::Invariant> Front::forbidden(const Attempt& a) {
+std::optional<decide::Invariant> Front::forbidden(const Attempt& a, bool is_out) {
     const Running& r = a.running;
     const auto& classes = settings_.module.classes;
     const auto cls = std::find_if(classes.begin(), classes.end(), [&](const auto& c) { return c.name == r.routed.cls; });
     decide::AttemptFactsNow facts;
     facts.client_left = r.ended == Ended::cancelled || r.ended == Ended::abandoned;
     facts.final_given = r.life.finished() && !facts.client_left;
-    facts.attempt_out = r.life.out();
-    facts.left = r.deadline - a.sent;
+    facts.attempt_out = r.life.out() && !is_out;
+    facts.left = r.deadline - loop_.now();
     facts.attempts = a.number;
     for (const auto& earlier : r.attempts)
         if (earlier->over && !never_ran(earlier->facts.outcome) && !facts.may_have_run) {
@@ -476,6 +504,8 @@
         const EngineEntry& entry = engine->watch.entry();
         facts.target.listed = true;
         facts.target.kind = entry.kind, facts.target.zone = entry.zone, facts.target.cell = entry.cell;
+        if (const auto drains = draining_engines_.find(a.engine); drains != draining_engines_.end())
+            facts.target.draining_for = loop_.now() - drains->second;
     }
     return decide::AttemptGuard(settings_.module).forbids(facts, *cls, std::nullopt);
 }
@@ -494,7 +524,7 @@
     if (std::exchange(a.over, true)) return;
     loop_.cancel(std::exchange(a.timer, 0));
     Running& r = a.running;
-    if (outcome != Outcome::skipped) r.life.take(Happening::attempt_over);
+    if (a.out) r.life.take(Happening::attempt_over);
     r.last = outcome;
     metrics_.attempt(outcome);
     a.facts.outcome = outcome;
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -65,9 +65,11 @@
 
     void handle(http::Request& request, http::Server::Reply reply);
     void post(Event event);
+    void engines_changed(ListChange change);
+    bool may_begin(const Attempt& a);
     void carry_out(const Action& action);
     void send(const Send& action);
-    std::optional<decide::Invariant> forbidden(const Attempt& a);
+    std::optional<decide::Invariant> forbidden(const Attempt& a, bool is_out = false);  // is_out: it is the one that is out
     void answer_finally(Running& r, statement::Document document, Ended ended, Micros come_back);
     void complete(Attempt& a, Outcome outcome, bool finished);
     void on_document(Attempt& a, statement::Document document, const http::Headers& headers);
@@ -95,6 +97,7 @@
     Engines engines_;
     statement::ServerSide statements_;
     http::Server server_;
+    std::map<EngineId, Micros> draining_engines_;  // those that take nothing new, since this front was told
     std::unordered_map<std::string, std::unique_ptr<Running>> running_;
     std::vector<std::string> to_free_;
     std::vector<net::Address> bound_;  // of the addresses to listen on, as far as the start has come
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -8,20 +8,30 @@
     Connection(Client& c) : client(c), parser(Parser::Kind::response, c.options_.limits) {}
     ~Connection() override { client.loop_.cancel(timer); }
 
-    void begin(std::string bytes, bool head, Micros time_out, Done call) {
+    void begin(std::string bytes, bool head, Micros time_out, Done call, MayBegin may) {
         parser.reset(head);
         answers_head = head;
         ++serial;
-        done = std::move(call);
+        done = std::move(call), may_begin = std::move(may);
         client.loop_.cancel(std::exchange(timer, 0));
         if (time_out > 0)
             timer = client.loop_.after(time_out, [this] {
                 timer = 0;
                 fail(connected ? Reached::late : Reached::connect_late, "no answer in time");
             });
-        stream->send(std::move(bytes));
+        sent = stream->send(std::move(bytes));
     }
     void on_connected() override { connected = true; }
+    void on_sending(std::size_t) override {
+        const bool may = !may_begin || stream->written(sent) != net::Written::nothing || may_begin();
+        if (may || !stream->take_back(sent)) return;
+        // Told in a later turn, as the stream is at its writing.
+        client.loop_.cancel(std::exchange(timer, 0));
+        timer = client.loop_.after(0, [this] {
+            timer = 0;
+            fail(Reached::withdrawn, "it might not begin any more");
+        });
+    }
     void on_data(Buffer& in) override {
         if (!done) return drop();  // bytes that nobody asked for
         if (!parser.feed(in)) return;
@@ -67,7 +77,7 @@
         const auto self = shared_from_this();
         client.loop_.cancel(std::exchange(timer, 0));
         stream.reset();
-        done = nullptr;
+        done = nullptr, may_begin = nullptr;
         std::erase(client.idle_, self);
         std::erase(client.all_, self);
     }
@@ -78,7 +88,9 @@
     bool connected = false, answers_head = false;
     std::uint64_t serial = 0;  // which call of this connection is in flight
     net::TimerId timer = 0;
+    net::SendId sent = 0;  // the request of the call in flight
     Done done;
+    MayBegin may_begin;
 };
 
 void Client::Call::cancel() {
@@ -86,6 +98,13 @@
     of_.reset();
 }
 
+bool Client::Call::withdraw() {
+    const auto c = of_.lock();
+    if (!active() || !c->stream->take_back(c->sent)) return false;
+    cancel();
+    return true;
+}
+
 bool Client::Call::active() const {
     const auto c = of_.lock();
     return c && c->serial == serial_ && c->done;
@@ -104,7 +123,7 @@
     for (auto& c : all_) c->done = nullptr, c->stream.reset();
 }
 
-Client::Call Client::send(const Request& request, Micros time_out, Done done) {
+Client::Call Client::send(const Request& request, Micros time_out, Done done, MayBegin may_begin) {
     std::shared_ptr<Connection> c;
     if (!idle_.empty()) {
         c = std::move(idle_.back());  // the one used last: least likely to be closed by the server just now
@@ -114,7 +133,7 @@
         all_.push_back(c);
         c->stream = loop_.connect(server_, *c, options_.connect_time_out);
     }
-    c->begin(write(request, host_), request.method == "HEAD", time_out, std::move(done));
+    c->begin(write(request, host_), request.method == "HEAD", time_out, std::move(done), std::move(may_begin));
     return Call(c, c->serial);
 }
 
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -16,6 +16,7 @@
     never_sent,    // no connection came about: the server has not seen the request
     connect_late,  // the same, after the time for connecting
     lacked_here,   // the same, for want of a descriptor, a port or the like at this machine
+    withdrawn,     // the same, as it might not begin any more when its first byte was to go out
     broken,  // the connection broke after the request went out, or the answer made no sense: it may have run
     late,    // no whole answer in time: it may have run, or be running
 };
@@ -51,6 +52,8 @@
         ~Call() { cancel(); }
         void cancel();
         void detach() { of_.reset(); }  // let it run to its end, Done included
+        // Cancels the call where nothing of its request has gone out yet: the server never sees it. Whether that was so.
+        bool withdraw();
         bool active() const;
 
     private:
@@ -65,9 +68,11 @@
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
 
+    // Asked right before the first byte of a request goes out; false: nothing of it does.
+    using MayBegin = std::function<bool()>;
     // `time_out` is for the whole call, connecting included; 0: none. Done is never called before this
     // returns.
-    Call send(const Request& request, Micros time_out, Done done);
+    Call send(const Request& request, Micros time_out, Done done, MayBegin may_begin = nullptr);
     const net::Address& server() const { return server_; }
     std::size_t open() const { return all_.size(); }
     // `told` each time that the server, or the network, has ended the last connection that was up: its process may have
--- a/src/statement/engine_call.cpp
+++ b/src/statement/engine_call.cpp
@@ -16,7 +16,6 @@
 }
 
 void EngineCall::start(http::Headers headers, std::string sql, std::function<bool()> may_begin) {
-    (void)may_begin;
     state_ = State::posting;
     headers_ = headers;
     http::Request post{"POST", "/v1/statement", 1, std::move(headers), std::move(sql), {}};
@@ -29,7 +28,8 @@
             if (a.reached != http::Reached::answered || a.response.status != 200) return;
             const auto d = read_document(a.response.body);
             if (d && !d->final()) send_delete(client, head, path_of(d->next_uri), time_out);
-        });
+        },
+        std::move(may_begin));
 }
 
 void EngineCall::end(CallEnd how) {
@@ -45,6 +45,7 @@
         case http::Reached::never_sent: return end({How::not_sent, 0, a.error, 0});
         case http::Reached::connect_late: return end({How::connect_late, 0, a.error, 0});
         case http::Reached::lacked_here: return end({How::lacked_here, 0, a.error, 0});
+        case http::Reached::withdrawn: return end({How::withdrawn, 0, a.error, 0});
         case http::Reached::broken: return end({How::lost, 0, a.error, 0});
         case http::Reached::late: return end({How::late, 0, a.error, 0});
         case http::Reached::answered: break;
@@ -105,7 +106,7 @@
 }
 
 void EngineCall::cancel() {
-    if (state_ == State::over || state_ == State::idle) {
+    if (state_ == State::over || state_ == State::idle || recall()) {
         state_ = State::over;
         return;
     }
@@ -117,7 +118,11 @@
     call_.cancel();
 }
 
-bool EngineCall::recall() { return false; }
+bool EngineCall::recall() {
+    if (state_ != State::posting || !call_.withdraw()) return false;
+    state_ = State::over;
+    return true;
+}
 
 void EngineCall::drop() {
     loop_.cancel(std::exchange(again_, 0));
