--- a/src/decide/list_numbering.cpp
+++ b/src/decide/list_numbering.cpp
@@ -1,5 +1,7 @@
 #include "decide/list_numbering.hpp"
 
+#include "base/planted.hpp"
+
 namespace gatetiller::decide {
 namespace {
 
@@ -19,7 +21,7 @@
         older_answers_ = 0;
         return ListVerdict::held;
     }
-    if (asked < held_since_) return ListVerdict::outdated;
+    if (asked < held_since_ || planted("highest_number_for_ever")) return ListVerdict::outdated;
     if (older_answers_++ == 0) older_since_ = now;
     const bool restarted = older_answers_ >= kRestartAnswers && now - older_since_ >= kRestartSpan;
     return restarted ? ListVerdict::restarted : ListVerdict::older;
--- a/src/lab/platform.cpp
+++ b/src/lab/platform.cpp
@@ -289,7 +289,8 @@
 
 void NameService::set(const NameFaults& faults) {
     if (faults.silent && !faults_.silent) silent_since_ = loop_.now();
-    deaf_ports_ = faults.deaf_ports ? ports_ : std::set<std::string>{};
+    if (!faults.deaf_ports) deaf_ports_.clear();
+    else if (!faults_.deaf_ports) deaf_ports_ = ports_;
     faults_ = faults;
 }
 
--- a/src/lab/platform.hpp
+++ b/src/lab/platform.hpp
@@ -110,8 +110,8 @@
     void set(const NameFaults& faults);
     // From now on each drain and each removal is also recorded ("told_at_latest") when it counts as told at the latest.
     void record_latest(const NameTerms& terms) { terms_ = terms; }
-    // The numbering starts anew; the next event has number 1, or so many more.
-    void renumber(std::uint64_t from = 0) { number_ = from; }
+    // The numbering starts anew, with the list as it stands as number 1.
+    void renumber() { number_ = 1; }
     std::uint64_t number() const { return number_; }
     std::uint64_t questions() const { return questions_; }
     std::string known(const std::string& front) const;  // the configuration's member of that name, as JSON
--- a/src/roster/dns_source.cpp
+++ b/src/roster/dns_source.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/bytes.hpp"
+#include "base/planted.hpp"
 #include "base/text.hpp"
 #include "dns/dns.hpp"
 
@@ -82,7 +83,7 @@
     const Micros now = loop_.now();
     while (!asked_.empty() && asked_.front().at < now - times_.counts_for) asked_.pop_front();
     // Where this machine has no descriptor for another one, the old port has to do.
-    if (unanswered_ > 0 && unanswered_ % times_.tries_a_port == 0) (void)open_port();
+    if (unanswered_ > 0 && unanswered_ % times_.tries_a_port == 0 && !planted("one_port")) (void)open_port();
     close_old_ports();
     const auto id = static_cast<std::uint16_t>(random_.next());
     asked_.push_back({id, now});
@@ -107,6 +108,7 @@
 
 // With the question that has just gone out.
 Micros DnsSource::patience() const {
+    if (planted("slow_questions")) return 6 * times_.silent_every;
     if (loop_.now() - heard_at_ > times_.full_pace) return std::max(pace(), times_.silent_every);
     if (unanswered_ > times_.quick_tries) return pace();
     return std::min(pace(), std::max(times_.patience, round_trip_ + round_trip_ / 2));
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -19,8 +19,9 @@
 
 constexpr std::size_t kClients = 3;               // of each node
 constexpr Micros kReady = 10 * kSecondMicros;     // of a process, from its start
-constexpr Micros kEnds = 4'500 * kMillisecond;    // from SIGTERM, for the longest deadline here
-constexpr Micros kStillAsked = 250 * kMillisecond;  // after SIGTERM
+constexpr Micros kEnds = 3'700 * kMillisecond;    // from SIGTERM to the earliest SIGKILL: the longest deadline and 0.7 s
+constexpr Micros kStillAsked = 250 * kMillisecond;  // after SIGTERM, on new connections; on open ones until the kill
+constexpr Micros kFirstSecond = kSecondMicros;     // of a process
 constexpr Micros kCrossing = 60 * kMillisecond;   // a request that crosses the close of a resting connection
 constexpr Micros kLateAnswer = 500 * kMillisecond;  // it earns nothing and is not lost
 constexpr Micros kLookupPatience = 2 * kSecondMicros, kLoadPatience = 3 * kSecondMicros;
@@ -106,6 +107,7 @@
 }
 
 Result<bool> Fleet::begin() {
+    names.record_latest({});
     for (std::size_t i = 0; i < options.plan.nodes; ++i) {
         auto node = std::make_unique<Node>();
         node->name = "n" + std::to_string(i);
@@ -140,6 +142,19 @@
     return true;
 }
 
+void Fleet::trouble_names(std::size_t trouble, const std::optional<lab::NameFaults>& faults) {
+    if (faults) name_troubles_[trouble] = *faults;
+    else name_troubles_.erase(trouble);
+    lab::NameFaults all;
+    for (const auto& [number, one] : name_troubles_) {
+        all.lost = std::max(all.lost, one.lost), all.failure = std::max(all.failure, one.failure);
+        all.cut = std::max(all.cut, one.cut), all.foreign = std::max(all.foreign, one.foreign);
+        all.old = std::max(all.old, one.old), all.slow = std::max(all.slow, one.slow);
+        all.silent = all.silent || one.silent, all.deaf_ports = all.deaf_ports || one.deaf_ports;
+    }
+    names.set(all);
+}
+
 Engine& Fleet::add_engine(bool cold) {
     auto made = std::make_unique<Engine>();
     Engine& e = *made;
@@ -237,7 +252,7 @@
     if (!process) return find("soak", process.error());
     node.process = std::move(*process);
     node.state = Node::State::starting;
-    node.started_at = loop.now(), node.slow_start = 0;
+    node.started_at = loop.now(), node.slow_start = 0, node.was_ready = false;
     node.prober.reset();
     ++result_.starts;
 }
@@ -284,11 +299,29 @@
 }
 
 void Fleet::reload_node(Node& node, bool half_written) {
+    if (!told_of_files(node)) return;
     write_config(node, half_written);
     node.process.signal(SIGHUP);
 }
 
+void Fleet::signal_in_series(Node& node) {
+    if (node.state != Node::State::up) return;
+    reload_node(node, false);
+    move_names(node);
+    terminate_node(node, false);
+    node.process.signal(SIGHUP);
+    node.process.terminate();
+}
+
+// The platform replaces no configuration in a process's first second, before it is ready or while it is down: a signal
+// between exec and main has its default action. Later signals before readiness come.
+bool Fleet::told_of_files(const Node& node) const {
+    if (node.state == Node::State::starting) return loop.now() >= node.started_at + kFirstSecond;
+    return node.state != Node::State::down;
+}
+
 void Fleet::move_names(Node& node) {
+    if (!told_of_files(node)) return;
     const auto dns = names.listen(node.name, *net::Address::parse("127.0.0.1:0"));
     if (!dns) return;
     node.dns = *dns;
@@ -296,6 +329,10 @@
 }
 
 void Fleet::crashed(const Node& node, int status) {
+    // Between exec and main a signal has its default action; one that ends after SIGTERM has not crashed.
+    const bool before_main = WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM && !node.was_ready &&
+                             node.told_to_end_at >= node.started_at;
+    if (before_main) return;
     find("crash", node.name + " ended by itself: " +
                       (WIFSIGNALED(status) ? std::string("signal ") + ::strsignal(WTERMSIG(status))
                                            : "status " + std::to_string(WEXITSTATUS(status))) +
@@ -307,7 +344,7 @@
     if (node.ending.running() && node.ending.wait(0)) {
         if (node.ending.status() != 0) crashed(node, node.ending.status());
     } else if (node.ending.running() && loop.now() > node.told_to_end_at + kEnds) {
-        find("end", node.name + " did not end within 4.5 s of SIGTERM while its successor started");
+        find("end", node.name + " did not end within 3.7 s of SIGTERM while its successor started");
         node.ending.kill();
     }
     switch (node.state) {
@@ -338,7 +375,7 @@
         node.prober->probe();
     }
     if (node.prober->ready() && !node.ending.running()) {
-        node.state = Node::State::up, node.taking = true;
+        node.state = Node::State::up, node.taking = true, node.was_ready = true;
         node.next_ask = loop.now();
         return;
     }
@@ -348,7 +385,6 @@
 }
 
 void Fleet::look_ending(Node& node) {
-    if (loop.now() > node.told_to_end_at + kStillAsked) node.taking = false;
     if (node.process.wait(0)) {
         record("front_ended", node);
         if (node.process.status() != 0) crashed(node, node.process.status());
@@ -358,7 +394,7 @@
         return;
     }
     if (loop.now() <= node.told_to_end_at + kEnds) return;
-    find("end", node.name + " did not end within 4.5 s of SIGTERM");
+    find("end", node.name + " did not end within 3.7 s of SIGTERM");
     kill_node(node);
 }
 
@@ -372,6 +408,8 @@
 void Fleet::ask(Node& node) {
     Client& client = node.clients[random.below(node.clients.size())];
     if (!client.connection || client.connection->ended()) {
+        const bool ends = node.state == Node::State::ending && loop.now() > node.told_to_end_at + kStillAsked;
+        if (ends) return;
         if (client.connection) ended_connection(client);
         connect(client, node);
     }
@@ -478,7 +516,7 @@
         if (std::all_of(nodes.begin(), nodes.end(), [&](const auto& n) { return over(*n); })) break;
     }
     for (auto& node : nodes) {
-        if (node->process.running()) find("end", node->name + " did not end within 4.5 s of the last SIGTERM");
+        if (node->process.running()) find("end", node->name + " did not end within 3.7 s of the last SIGTERM");
         else if (node->process.status() != 0) crashed(*node, node->process.status());
     }
 }
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -64,6 +64,7 @@
     Micros started_at = 0, told_to_end_at = 0, restart_at = 0, next_ask = 0;
     Micros slow_start = 0;  // time for which it was not to blame for not being ready
     bool taking = false;
+    bool was_ready = false;  // its process, once
 };
 
 struct Engine {
@@ -89,9 +90,12 @@
     void stop_node(Node& node);
     void continue_node(Node& node);
     void reload_node(Node& node, bool half_written);
+    void signal_in_series(Node& node);  // new configurations and planned restarts, one right behind another
     // Whole, it tells the node of engines that it may never have heard of; of others a list does.
     void write_config(const Node& node, bool half = false);
     void move_names(Node& node);
+    // Of the trouble of that number; nothing: it is over. Those that last at once add up.
+    void trouble_names(std::size_t trouble, const std::optional<lab::NameFaults>& faults);
     Engine& add_engine(bool cold);
     void crash_engine(Engine& engine);
     void remove_engine(Engine& engine);
@@ -128,8 +132,10 @@
     void look_at_clients(Node& node);
     void ended_connection(Client& client);
     void crashed(const Node& node, int status);
+    bool told_of_files(const Node& node) const;
 
     SoakResult& result_;
+    std::map<std::size_t, lab::NameFaults> name_troubles_;
     std::vector<std::unique_ptr<lab::PlatformClient>> rudes_, crowd_;
 };
 
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -17,6 +17,10 @@
 constexpr Micros kQuietEnd = 2 * kSecondMicros;     // nothing new begins
 constexpr double kOverlap = 0.6;                    // of troubles that begin while another lasts
 constexpr double kSameNodes = 0.5;                  // of those, that strike the same nodes
+constexpr Micros kDrainLasts = 6 * kSecondMicros;   // at most: past its grace and what it takes to be heard
+constexpr std::uint64_t kCrowdedSeeds = 4;          // one in so many has idle clients fill the descriptors in an outage
+constexpr TroubleKind kNameTroubles[] = {TroubleKind::names_silent, TroubleKind::names_garbled, TroubleKind::names_slow,
+                                         TroubleKind::names_deaf_ports, TroubleKind::names_renumbered};
 constexpr double kColdShares[] = {0.31, 0.1, 0.05};
 constexpr Micros kConnectTimeOuts[] = {250 * kMillisecond, 1'500 * kMillisecond};  // under and over a SYN's second try
 constexpr std::int64_t kHourSeconds = 3600;
@@ -56,15 +60,36 @@
     return t;
 }
 
+// Ill-heard drains: the name service in trouble, an engine that drains just then and stays up past its grace, and in some
+// plans a crowd of idle clients meanwhile.
+void add_unheard_drain(Random& random, const PlanSettings& s, std::vector<Trouble>& plan) {
+    const Micros latest = std::max<Micros>(kQuietStart, s.length - kQuietEnd - 4 * kSecondMicros);
+    const auto at = kQuietStart + static_cast<Micros>(random.uniform() * static_cast<double>(latest - kQuietStart));
+    auto names = drawn(random, s, plan.size(), at);
+    names.kind = kNameTroubles[random.below(std::size(kNameTroubles))];
+    names.lasts = static_cast<Micros>(random.uniform(0.5, 4) * static_cast<double>(kSecondMicros));
+    if (names.kind == TroubleKind::names_deaf_ports) names.lasts = kDrainLasts + kSecondMicros;  // until it is found out
+    plan.push_back(names);
+    auto drain = drawn(random, s, plan.size(), at + static_cast<Micros>(random.uniform() * static_cast<double>(kSecondMicros)));
+    drain.kind = TroubleKind::engine_drains;
+    drain.lasts = kDrainLasts;
+    plan.push_back(drain);
+    if (s.seed % kCrowdedSeeds != 0) return;
+    auto crowd = drawn(random, s, plan.size(), at);
+    crowd.kind = TroubleKind::clients_crowd;
+    crowd.lasts = names.lasts + kSecondMicros;
+    plan.push_back(crowd);
+}
+
 }  // namespace
 
 const char* name_of(TroubleKind kind) {
     constexpr const char* kNames[] = {
         "engine_misbehaves", "engine_crashes", "engine_drains", "engine_joins_cold", "links_late", "links_held",
         "links_half_open", "links_trickle", "links_reset", "clients_leave", "clients_reset", "clients_rude",
-        "clients_crowd", "names_silent", "names_slow", "names_garbled", "names_move", "node_killed",
-        "node_terminated", "node_restart_overlaps", "node_stopped", "node_reloaded_often",
-        "node_config_half_written", "calls_fail", "transfers_short", "wall_clock_steps", "log_unwritable"};
+        "clients_crowd", "names_silent", "names_slow", "names_garbled", "names_move", "names_deaf_ports",
+        "names_renumbered", "node_killed", "node_terminated", "node_restart_overlaps", "node_stopped",
+        "node_reloaded_often", "node_config_half_written", "node_signals_in_series", "calls_fail", "transfers_short", "wall_clock_steps", "log_unwritable"};
     static_assert(std::size(kNames) == kTroubleKinds);
     return kNames[static_cast<std::size_t>(kind)];
 }
@@ -97,6 +122,7 @@
         if (overlaps && random.chance(kSameNodes)) trouble.nodes = before->nodes;
         plan.push_back(std::move(trouble));
     }
+    if (s.troubles > 0) add_unheard_drain(random, s, plan);
     return plan;
 }
 
--- a/tests/soak/plan.hpp
+++ b/tests/soak/plan.hpp
@@ -17,9 +17,10 @@
     // clients
     clients_leave, clients_reset, clients_rude, clients_crowd,
     // the name service
-    names_silent, names_slow, names_garbled, names_move,
+    names_silent, names_slow, names_garbled, names_move, names_deaf_ports, names_renumbered,
     // processes
     node_killed, node_terminated, node_restart_overlaps, node_stopped, node_reloaded_often, node_config_half_written,
+    node_signals_in_series,
     // the machine
     calls_fail, transfers_short, wall_clock_steps, log_unwritable,
 };
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -92,11 +92,14 @@
         case TroubleKind::clients_crowd:
             if (Node& n = *f.nodes[t_.nodes[0] % f.nodes.size()]; n.taking) f.idle_crowd(n, kCrowd);
             return;
-        case TroubleKind::names_silent: return f.names.set({.silent = true});
-        case TroubleKind::names_slow: return f.names.set({.slow = kSecondMicros});
+        case TroubleKind::names_silent: return f.trouble_names(t_.number, lab::NameFaults{.silent = true});
+        case TroubleKind::names_slow: return f.trouble_names(t_.number, lab::NameFaults{.slow = kSecondMicros});
         case TroubleKind::names_garbled:
-            return f.names.set({.lost = 0.2, .failure = 0.1, .cut = 0.1, .foreign = 0.1, .old = 0.1});
+            return f.trouble_names(
+                t_.number, lab::NameFaults{.lost = 0.2, .failure = 0.1, .cut = 0.1, .foreign = 0.1, .old = 0.1});
         case TroubleKind::names_move: return each_node([&](Node& n) { f.move_names(n); });
+        case TroubleKind::names_deaf_ports: return f.trouble_names(t_.number, lab::NameFaults{.deaf_ports = true});
+        case TroubleKind::names_renumbered: return f.names.renumber();
         case TroubleKind::node_killed: return each_node([&](Node& n) { f.kill_node(n); });
         case TroubleKind::node_terminated:
         case TroubleKind::node_restart_overlaps:
@@ -110,6 +113,7 @@
                 for (int i = 0; i < 5; ++i) f.reload_node(n, false);
             });
         case TroubleKind::node_config_half_written: return each_node([&](Node& n) { f.reload_node(n, true); });
+        case TroubleKind::node_signals_in_series: return each_node([&](Node& n) { f.signal_in_series(n); });
         case TroubleKind::calls_fail:
             return each_node([&](Node& n) {
                 (*n.control)->fail(static_cast<testing::Call>(t_.call), t_.error, t_.per_mille);
@@ -144,7 +148,8 @@
         case TroubleKind::clients_crowd: return f.drop_crowd();
         case TroubleKind::names_silent:
         case TroubleKind::names_slow:
-        case TroubleKind::names_garbled: return f.names.set({});
+        case TroubleKind::names_garbled:
+        case TroubleKind::names_deaf_ports: return f.trouble_names(t_.number, std::nullopt);
         case TroubleKind::node_stopped: return each_node([&](Node& n) { f.continue_node(n); });
         case TroubleKind::node_terminated:
         case TroubleKind::node_restart_overlaps:
@@ -162,8 +167,10 @@
         case TroubleKind::clients_reset:
         case TroubleKind::clients_rude:
         case TroubleKind::names_move:
+        case TroubleKind::names_renumbered:
         case TroubleKind::node_killed:
         case TroubleKind::node_reloaded_often:
+        case TroubleKind::node_signals_in_series:
         case TroubleKind::wall_clock_steps: return;
     }
 }
