--- a/src/decide/engine_list.cpp
+++ b/src/decide/engine_list.cpp
@@ -10,6 +10,10 @@
 // A wall clock may be off by an hour when the process starts: an engine that looks older than this is not young.
 constexpr Micros kTrustedAge = 2 * 3'600 * kSecondMicros;
 
+// After a numbering has started anew: what drained or went so shortly before counts as draining for so long.
+constexpr Micros kGoneLately = 60 * kSecondMicros;
+constexpr Micros kSuspectFor = 10 * kSecondMicros;
+
 }  // namespace
 
 Micros EngineList::came_up(const ListedEngine& e, Micros latest_start, Micros now, Micros wall) const {
@@ -24,10 +28,13 @@
     return std::max<Micros>(1, std::min(estimate, at_latest));
 }
 
-std::optional<ListChange> EngineList::take(std::uint64_t number, const std::vector<ListedEngine>& list, Micros now,
+std::optional<ListChange> EngineList::take(std::uint64_t number, const std::vector<ListedEngine>& heard, Micros now,
                                            Micros wall, Micros asked) {
     const auto serial = static_cast<std::uint32_t>(number);
-    switch (numbering_.judge(serial, asked, now)) {
+    const auto verdict = numbering_.judge(serial, asked, now);
+    if (verdict == ListVerdict::restarted) suspect_all_drained(now);
+    const auto list = without_suspects(heard, now);
+    switch (verdict) {
         case ListVerdict::newer:
         case ListVerdict::restarted: return adopt(serial, list, now, wall);
         case ListVerdict::outdated: return std::nullopt;
@@ -50,12 +57,26 @@
 
 bool EngineList::confirm(std::uint64_t number, Micros now) {
     const bool held = any_ && static_cast<std::uint32_t>(number) == numbering_.held();
-    if (!held || !doubted_.empty() || !other_.empty()) return false;
+    if (!held || !doubted_.empty() || !other_.empty() || !suspects_.empty()) return false;
     (void)numbering_.judge(numbering_.held(), now, now);
     heard_ = now;
     return true;
 }
 
+void EngineList::suspect_all_drained(Micros now) {
+    std::erase_if(gone_, [&](const auto& gone) { return gone.second < now - kGoneLately; });
+    for (const auto& [name, since] : gone_) suspects_[name] = now + kSuspectFor;
+    for (const auto& [id, e] : engines_)
+        if (e.state != EngineState::on) suspects_[e.name] = now + kSuspectFor;
+}
+
+std::vector<ListedEngine> EngineList::without_suspects(std::vector<ListedEngine> list, Micros now) {
+    std::erase_if(suspects_, [&](const auto& suspect) { return suspect.second <= now; });
+    for (ListedEngine& e : list)
+        if (suspects_.contains(e.name) && e.state == EngineState::on) e.state = EngineState::fading;
+    return list;
+}
+
 EngineState EngineList::state(EngineId id) const {
     const auto found = engines_.find(id);
     if (found == engines_.end()) return EngineState::off;
@@ -75,15 +96,17 @@
     return {id, state, e.zone, e.kind, e.cell, came_up_.at(id), e.share};
 }
 
-// Only what makes the front more careful.
+// Only what makes the front more careful: what drains there, or is not there.
 std::optional<ListChange> EngineList::doubt(const std::vector<ListedEngine>& list) {
+    std::set<std::string> on;
+    for (const ListedEngine& e : list)
+        if (e.state == EngineState::on) on.insert(e.name);
     ListChange change;
     change.form = ListForm::incr;
-    for (const ListedEngine& e : list) {
-        const auto id = ids_.find(e.name);
-        if (e.state != EngineState::fading || id == ids_.end() || state(id->second) != EngineState::on) continue;
-        doubted_.insert(id->second);
-        change.engines.push_back(entry(id->second, EngineState::fading));
+    for (const auto& [id, e] : engines_) {
+        if (on.contains(e.name) || state(id) != EngineState::on) continue;
+        doubted_.insert(id);
+        change.engines.push_back(entry(id, EngineState::fading));
     }
     if (change.engines.empty()) return std::nullopt;
     return change;
@@ -126,8 +149,10 @@
     for (const auto& [name, id] : ids_) {
         if (ids.contains(name)) continue;
         change.engines.push_back(entry(id, EngineState::off));
+        gone_[name] = now;
         engines_.erase(id), came_up_.erase(id);
     }
+    std::erase_if(gone_, [&](const auto& gone) { return gone.second < now - kGoneLately; });
     ids_ = std::move(ids);
     any_ = true;
     heard_ = now;
--- a/src/decide/engine_list.hpp
+++ b/src/decide/engine_list.hpp
@@ -31,8 +31,9 @@
     // it tells nothing new. The first one is told as the copy of the start.
     //
     // A list of an older number, or of the number held with other content, is not taken at once: a service may answer with
-    // an older list now and then. The engines that it says are draining count as draining until the list held is heard
-    // again. It is taken once the same comes twice under the number held, or once the numbering has started anew.
+    // an older list now and then. The engines that drain there, or are not there, count as draining until the list held
+    // is heard again. It is taken once the same comes twice under the number held, or once the numbering has started anew; what was
+    // draining or gone until then counts as draining for some time after, as it may be a service that lags behind.
     //
     // The wall clock alone never makes a start old: an engine is no older than the last good list that lacked its start, and
     // one of the first list counts as new unless it looks hours old. It is older, though, by what the list's latest start is
@@ -54,6 +55,8 @@
     std::optional<ListChange> doubt(const std::vector<ListedEngine>& list);
     std::optional<ListChange> settle();
     bool holds(const std::vector<ListedEngine>& list) const;
+    void suspect_all_drained(Micros now);
+    std::vector<ListedEngine> without_suspects(std::vector<ListedEngine> list, Micros now);
     EngineEntry entry(EngineId id, EngineState state) const;
     Micros came_up(const ListedEngine& e, Micros latest_start, Micros now, Micros wall) const;
 
@@ -64,7 +67,9 @@
     std::map<std::string, EngineId> ids_;  // of those not gone
     std::map<EngineId, ListedEngine> engines_;
     std::map<EngineId, Micros> came_up_;  // on the loop's clock, reckoned once for each start
-    std::set<EngineId> doubted_;  // on by the list held, draining by an answer that was not taken
+    std::set<EngineId> doubted_;  // on by the list held, draining or gone by an answer that was not taken
+    std::map<std::string, Micros> gone_;      // lately, and since when
+    std::map<std::string, Micros> suspects_;  // that count as draining whatever a list says, and until when
     std::vector<ListedEngine> other_;  // the last one that came under the number held with other content
 };
 
--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -614,7 +614,10 @@
         for (const LabRecord& r : records_.lab) {
             if (r.who != front) continue;
             if (r.event == "front_stopped") from = r.at;
-            if (r.event == "front_continued" && from > 0 && at >= from && at <= r.at + kSlack) return true;
+            // One that is killed while it is held still never goes on.
+            const bool over = r.event == "front_continued" || r.event == "front_killed";
+            if (over && from > 0 && at >= from && at <= r.at + kSlack) return true;
+            if (over) from = 0;
         }
         return false;
     }
--- a/src/lab/platform.cpp
+++ b/src/lab/platform.cpp
@@ -288,7 +288,11 @@
 }
 
 void NameService::set(const NameFaults& faults) {
-    if (faults.silent && !faults_.silent) silent_since_ = loop_.now();
+    // A pause between two silences that a front may pass over without a question joins them.
+    constexpr Micros kPassedOver = 500 * kMillisecond;
+    if (faults.silent && !faults_.silent && (silent_since_ == 0 || loop_.now() - silent_until_ > kPassedOver))
+        silent_since_ = loop_.now();
+    if (!faults.silent && faults_.silent) silent_until_ = loop_.now();
     if (!faults.deaf_ports) deaf_ports_.clear();
     else if (!faults_.deaf_ports) deaf_ports_ = ports_;
     faults_ = faults;
@@ -298,23 +302,25 @@
     if (!terms_) return;
     // A front asks within so long; what a good answer would have told then counts as told some time later.
     constexpr Micros kAsksWithin = 300 * kMillisecond;
+    const Micros usually = kAsksWithin + terms_->usually;
     const std::weak_ptr<char> here = alive_;
-    loop_.after(kAsksWithin + terms_->usually, [this, here, engine, state] {
+    loop_.after(usually, [this, here, engine, state] {
         if (here.expired()) return;
-        const Micros now = loop_.now();
-        const bool long_silence = faults_.silent && now - silent_since_ > terms_->long_silence;
-        const Micros counts_at = silent_since_ + terms_->after_silence;
-        if (!long_silence || counts_at <= now) return record_latest_of(engine, state);
-        loop_.after(counts_at - now, [this, here, engine, state] {
-            if (!here.expired()) record_latest_of(engine, state);
+        const Micros now = loop_.now(), began = silent_since_;
+        if (!faults_.silent) return record_latest_of(engine, state, now);
+        // How long this silence lasts tells by which term it counts.
+        loop_.after(std::max<Micros>(0, began + terms_->long_silence - now), [this, here, engine, state, now, began] {
+            if (here.expired()) return;
+            const bool long_silence = faults_.silent && silent_since_ == began;
+            record_latest_of(engine, state, long_silence ? std::max(now, began + terms_->after_silence) : now);
         });
     });
 }
 
-void NameService::record_latest_of(const std::string& engine, const char* state) {
+void NameService::record_latest_of(const std::string& engine, const char* state, Micros at) {
     for (const auto& [front, socket] : sockets_) {
         LabRecord r;
-        r.at = loop_.now(), r.event = "told_at_latest", r.who = front, r.detail = engine + "=" + state;
+        r.at = at, r.event = "told_at_latest", r.who = front, r.detail = engine + "=" + state;
         records_.lab.push_back(std::move(r));
     }
 }
--- a/src/lab/platform.hpp
+++ b/src/lab/platform.hpp
@@ -123,7 +123,7 @@
     void say(const std::string& front, const net::Address& to, const std::string& message, const std::string& event,
              const std::string& states);
     void tell_latest(const std::string& engine, const char* state);
-    void record_latest_of(const std::string& engine, const char* state);
+    void record_latest_of(const std::string& engine, const char* state, Micros at);
 
     net::Loop& loop_;
     Records& records_;
@@ -133,7 +133,7 @@
     std::map<std::string, Entry> entries_, before_;  // before_: one event ago
     std::uint64_t number_ = 0, questions_ = 0;
     std::optional<NameTerms> terms_;
-    Micros silent_since_ = 0;
+    Micros silent_since_ = 0, silent_until_ = 0;
     std::set<std::string> ports_, deaf_ports_;  // that have asked; of those, the ones that are not answered
     std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -19,6 +19,7 @@
 constexpr Micros kAnswerReserve = 5 * kMillisecond;  // for an answer's way to its client
 constexpr Micros kTick = kSecondMicros;
 constexpr int kStatusTicks = 5;
+constexpr Micros kListOld = 2 * kSecondMicros;  // without a word of the name service
 constexpr Micros kDrainLook = 20 * kMillisecond;
 constexpr Micros kDiscardBefore = 100 * kMillisecond;  // the end of a drained engine's grace
 constexpr std::size_t kEnginesShown = 40;  // in the status
@@ -639,9 +640,17 @@
         while (!sent.empty() && sent.front() <= loop_.now() - settings_.module.overload_for) sent.pop_front();
         ++it;
     }
+    look_at_list_age();
     if (++ticks_ % kStatusTicks == 0) deps_.log(status());
 }
 
+// Told once for each silence. The list held stays in force, however old (docs/incidents/drain-told-and-not-held.md).
+void Node::look_at_list_age() {
+    const bool old = loop_.now() - list_.heard() > kListOld;
+    if (old == std::exchange(list_is_old_, old)) return;
+    deps_.log((old ? "no word of the name service, the list held stays: " : "the name service is heard again: ") + list_text());
+}
+
 // name:module/sockets/connections of each; of a large fleet, those with most attempts out.
 std::string Node::engines_text() const {
     std::vector<const Engine*> shown;
@@ -672,7 +681,7 @@
             closed += (closed.empty() ? "" : ",") + std::string(decide::name_of(static_cast<decide::CloseReason>(i))) +
                       ":" + std::to_string(c.closed[i]);
     return "requests=" + std::to_string(running_.size()) +
-           " clients=" + std::to_string(clients_.connections()) + " list=" + std::to_string(list_.number()) +
+           " clients=" + std::to_string(clients_.connections()) + " " + list_text() +
            " engines(module/sockets/connections)=" + engines_text() + ended +
            " accepted=" + std::to_string(c.accepted) + " malformed=" + std::to_string(c.malformed) +
            " evicted=" + std::to_string(c.evicted) + " overdue=" + std::to_string(c.overdue) +
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -97,6 +97,7 @@
     void refuse(Running& r, Micros come_back, const char* how, std::optional<EndReason> reason = std::nullopt);
     void free_later(const std::string& id);
     void tick();
+    void look_at_list_age();
     void look_drained();
     void end_all();
     Running* find(const std::string& id);
@@ -125,6 +126,7 @@
     std::uint64_t bad_lists_ = 0;
     Micros wall_offset_ = 0;  // from the loop's clock to the wall's, read once
     bool started_ = false, discovering_ = false;
+    bool list_is_old_ = false;  // and the log says so
     decide::RestartTimes restart_;
     Micros draining_since_ = 0;
     std::function<void()> drained_;
--- a/src/roster/dns_source.cpp
+++ b/src/roster/dns_source.cpp
@@ -103,7 +103,9 @@
 Micros DnsSource::pace() const {
     const auto longer = times_.every * static_cast<Micros>(answer_bytes_) / static_cast<Micros>(times_.usual_bytes);
     const Micros usual = std::max(times_.every, std::min(longer, times_.every_most));
-    return round_trip_ > times_.every ? std::max(usual, times_.slow_every) : usual;
+    const bool answers_come = loop_.now() - heard_at_ <= round_trip_ + times_.slow_every;
+    const bool slow = round_trip_ > times_.every && answers_come;  // else it is silent, whatever it was before
+    return slow ? std::max(usual, times_.slow_every) : usual;
 }
 
 // With the question that has just gone out.
--- a/tests/decide/node_test.cpp
+++ b/tests/decide/node_test.cpp
@@ -140,7 +140,7 @@
 
 TEST_F(ListAnswers, OfAnOlderListOnlyDrainsCountAndOnlyUntilTheOneHeldComesAgain) {
     ASSERT_TRUE(hear(9, on));
-    const auto doubt = hear(8, {engine("a", "h:1", EngineState::fading), engine("c", "h:3")});
+    const auto doubt = hear(8, {engine("a", "h:1", EngineState::fading), engine("b", "h:2"), engine("c", "h:3")});
     ASSERT_TRUE(doubt);
     ASSERT_EQ(doubt->engines.size(), 1u);
     EXPECT_EQ(doubt->engines[0].state, EngineState::fading);
@@ -164,10 +164,33 @@
     ASSERT_TRUE(hear(4, drains));
 }
 
+// It may also be a service that lags behind for some seconds: what was told once is not untold by it.
+TEST_F(ListAnswers, WhatDrainedOrWentBeforeANumberingStartedAnewStaysSoForAWhile) {
+    ASSERT_TRUE(hear(9, {engine("a", "h:1"), engine("b", "h:2"), engine("c", "h:3")}));
+    const auto told = hear(10, {engine("a", "h:1", EngineState::fading), engine("b", "h:2")});
+    ASSERT_TRUE(told);
+    const EngineId drained = told->engines[0].id;
+    const std::vector<decide::ListedEngine> older{engine("a", "h:1"), engine("b", "h:2"), engine("c", "h:3")};
+    const Micros since = now;
+    while (now - since < 9 * kSecondMicros) {
+        (void)hear(3, older);
+        EXPECT_EQ(list.state(drained), EngineState::fading);
+        for (const auto& [id, e] : list.engines()) EXPECT_EQ(list.state(id) == EngineState::on, e.name == "b") << e.name;
+    }
+    EXPECT_EQ(list.number(), 3u);
+    while (now - since < 16 * kSecondMicros) (void)hear(3, older);
+    EXPECT_EQ(list.state(drained), EngineState::on);
+}
+
 TEST_F(ListAnswers, OlderListsNowAndThenChangeNothing) {
     ASSERT_TRUE(hear(9, on));
-    for (int i = 0; i < 200; ++i) EXPECT_FALSE(hear(i % 4 == 0 ? 9 : 8, i % 4 == 0 ? on : std::vector{engine("b", "h:2")}));
-    EXPECT_EQ(list.engines().size(), 2u);
+    for (int i = 0; i < 200; ++i) {
+        (void)hear(i % 4 == 0 ? 9 : 8, i % 4 == 0 ? on : std::vector{engine("b", "h:2")});
+        ASSERT_EQ(list.engines().size(), 2u);
+        // What an older list lacks is not gone; it gets nothing new until the list held comes again.
+        for (const auto& [id, e] : list.engines())
+            EXPECT_EQ(list.state(id) == EngineState::on, i % 4 == 0 || e.name == "b") << e.name << " " << i;
+    }
 }
 
 TEST_F(ListAnswers, AnswersToQuestionsBeforeTheListCameSayNothingOfNow) {
@@ -192,7 +215,7 @@
     const std::vector<decide::ListedEngine> other{engine("a", "h:1", EngineState::fading), engine("c", "h:3")};
     const auto first = hear(9, other);
     ASSERT_TRUE(first);
-    EXPECT_EQ(first->engines.size(), 1u);
+    EXPECT_EQ(first->engines.size(), 2u) << "one drains, one is not there";
     EXPECT_EQ(first->engines[0].state, EngineState::fading);
     const auto second = hear(9, other);
     ASSERT_TRUE(second);
--- a/tests/lab/checker_test.cpp
+++ b/tests/lab/checker_test.cpp
@@ -173,6 +173,23 @@
     EXPECT_EQ(list.broken(), Rules{3});
 }
 
+// Whatever became of the answers that would have told it; a process that is held still hears nothing meanwhile.
+TEST(Checker, Rule3ADrainCountsAsToldAtTheLatest) {
+    const auto told = [](Micros sent, bool held_still) {
+        Tape t;
+        t.r.lab.push_back({1 * ms, "list_served", "f", "e1=on,e2=on"});
+        if (held_still) t.r.lab.push_back({5 * ms, "front_stopped", "f", ""});
+        t.r.lab.push_back({10 * ms, "told_at_latest", "f", "e2=fading"});
+        if (held_still) t.r.lab.push_back({200 * ms, "front_continued", "f", ""});
+        t.taken(sent, "b.0", "short"), t.attempt(sent, "b.0", 2, sent + 10 * ms), t.final(sent + 20 * ms, "b.0");
+        return t.broken();
+    };
+    EXPECT_EQ(told(500 * ms, false), Rules{});
+    EXPECT_EQ(told(600 * ms, false), Rules{3});
+    EXPECT_EQ(told(600 * ms, true), Rules{});
+    EXPECT_EQ(told(800 * ms, true), Rules{3});
+}
+
 TEST(Checker, Rule4AColdEngineThatFellOver) {
     Tape t;
     t.taken(10 * ms, "a.0", "short"), t.attempt(11 * ms, "a.0", 1, 20 * ms), t.final(30 * ms, "a.0");
--- a/tests/node/discovery_test.cpp
+++ b/tests/node/discovery_test.cpp
@@ -66,6 +66,21 @@
     }
 }
 
+// Answers that were slow before say nothing of a service that gives none.
+TEST_F(Discovery, ASilenceBehindSlowAnswersIsAskedThroughAtTheSteadyPace) {
+    engine("s-1");
+    start();
+    names.set({.slow = kSecondMicros});
+    pass(10 * kSecondMicros);
+    names.set({.silent = true});
+    pass(3 * kSecondMicros);
+    for (int i = 0; i < 10; ++i) {
+        const auto before = names.questions();
+        pass(300 * kMillisecond);
+        EXPECT_GE(names.questions(), before + 1) << i;
+    }
+}
+
 // The answers to many questions come at once, late: the next question must not wait for the last of them.
 TEST_F(Discovery, LateAnswersDelayNoQuestion) {
     engine("s-1");
