A numbering's new start is not followed to an older list of its own; repeats leave time for their way

The module is told windows that are 20 ms shorter, and what waits then is withheld 20 ms earlier; the guard keeps the exact one.

--- a/src/decide/list_numbering.cpp
+++ b/src/decide/list_numbering.cpp
@@ -9,11 +9,12 @@
 constexpr int kRestartAnswers = 8;
 constexpr Micros kRestartSpan = 2 * kSecondMicros;
 
+// By serial number arithmetic (RFC 1982).
+bool is_newer(std::uint32_t number, std::uint32_t than) { return static_cast<std::int32_t>(number - than) > 0; }
+
 }  // namespace
 
-bool ListNumbering::newer(std::uint32_t number) const {
-    return !held_ || static_cast<std::int32_t>(number - *held_) > 0;
-}
+bool ListNumbering::newer(std::uint32_t number) const { return !held_ || is_newer(number, *held_); }
 
 ListVerdict ListNumbering::judge(std::uint32_t number, Micros asked, Micros now) {
     if (newer(number)) return ListVerdict::newer;
@@ -22,7 +23,9 @@
         return ListVerdict::held;
     }
     if (asked < held_since_ || planted("highest_number_for_ever")) return ListVerdict::outdated;
-    if (older_answers_++ == 0) older_since_ = now;
+    if (older_answers_++ == 0) older_since_ = now, newest_older_ = number;
+    if (is_newer(newest_older_, number)) return ListVerdict::older;
+    newest_older_ = number;
     const bool restarted = older_answers_ >= kRestartAnswers && now - older_since_ >= kRestartSpan;
     return restarted ? ListVerdict::restarted : ListVerdict::older;
 }
--- a/src/decide/list_numbering.hpp
+++ b/src/decide/list_numbering.hpp
@@ -31,6 +31,7 @@
     Micros held_since_ = 0;
     int older_answers_ = 0;   // in a row, none of the number held or above between them
     Micros older_since_ = 0;  // the first of them
+    std::uint32_t newest_older_ = 0;  // the newest of them: where the numbering has started anew, what is older than that is old
 };
 
 }  // namespace gatetiller::decide
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,6 +20,7 @@
 constexpr Micros kTick = kSecondMicros;
 constexpr int kStatusTicks = 5;
 constexpr Micros kListOld = 2 * kSecondMicros;  // without a word of the name service
+constexpr Micros kRepeatWay = 20 * kMillisecond;  // of a repeat to its engine
 constexpr Micros kDrainLook = 20 * kMillisecond;
 constexpr Micros kDiscardBefore = 100 * kMillisecond;  // the end of a drained engine's grace
 constexpr std::size_t kEnginesShown = 40;  // in the status
@@ -32,8 +33,10 @@
     return thrift::rejected(seq, hint);
 }
 
-// What the module is told of the settings: all of them, but for faults planted by the soak.
+// What the module is told of the settings: windows of repeats that leave time for a repeat's way to its engine, as it must
+// arrive within them; the rest as it is, but for faults planted by the soak.
 Settings module_settings(Settings s) {
+    for (ClassSettings& c : s.classes) c.window = std::max<Micros>(0, c.window - kRepeatWay);
     if (planted("send_over_attempt_cap")) s.attempts_cap += 20;
     if (planted("cold_engine_taken_for_warm")) s.warm_up = 0;
     for (ClassSettings& c : s.classes) {
@@ -474,7 +477,7 @@
     });
     // A repeat must arrive while the engines still know the key, not only be sent by then.
     if (r->cls->effect == Effect::by_key && r->ran_since)
-        a.window = loop_.after(*r->ran_since + r->cls->window - a.sent, [this, &a] {
+        a.window = loop_.after(*r->ran_since + r->cls->window - kRepeatWay - a.sent, [this, &a] {
             a.window = 0;
             withhold(a);
         });
--- a/tests/decide/node_test.cpp
+++ b/tests/decide/node_test.cpp
@@ -182,6 +182,21 @@
     EXPECT_EQ(list.state(drained), EngineState::on);
 }
 
+// Services answer with an older list now and then, also those that have just started.
+TEST_F(ListAnswers, ANumberingThatHasStartedAnewIsNotFollowedToAnOlderListOfItsOwn) {
+    ASSERT_TRUE(hear(120, on));
+    for (int i = 0; i < 9; ++i) (void)hear(4, drains);
+    ASSERT_EQ(list.number(), 4u);
+    ASSERT_TRUE(hear(120, on));
+    for (int i = 0; i < 7; ++i) (void)hear(4, drains);
+    for (int i = 0; i < 5; ++i) {
+        (void)hear(3, on);
+        EXPECT_EQ(list.number(), 120u) << i;
+    }
+    (void)hear(4, drains);
+    EXPECT_EQ(list.number(), 4u);
+}
+
 TEST_F(ListAnswers, OlderListsNowAndThenChangeNothing) {
     ASSERT_TRUE(hear(9, on));
     for (int i = 0; i < 200; ++i) {
