A connection cut off in the middle of a request is reset too where the kernel holds more

Read through: end_all() asked whether its stream was over before it discarded what the kernel holds. Where one is cut off in the middle of a request (its first part out for over 120 ms) it is called as over while the kernel still sends: whole requests before the cut, ended as lost and tried elsewhere, could arrive later. Of a stream that has really ended nothing is held, so the condition is not needed.

--- a/src/node/engine_link.cpp
+++ b/src/node/engine_link.cpp
@@ -274,7 +274,7 @@
             e->on_ = nullptr;
         }
         unsent.clear();
-        if (!stream_over && holds_unacknowledged()) discard();
+        if (holds_unacknowledged()) discard();  // not where the stream has ended: nothing of it is held any more
         stream.reset();
         link.over(*this);  // `this` is no more: only what was copied counts from here
         for (const auto& [events, how] : told) {
