--- a/src/node/engine_connection.cpp
+++ b/src/node/engine_connection.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "base/text.hpp"
-#include "platform/settings.hpp"
 #include "resp/resp.hpp"
 
 namespace gatetiller::node {
@@ -29,38 +28,10 @@
 constexpr std::size_t kMaxDetailBytes = 80;  // of an engine's error message, for logs
 const resp::Limits kResponseLimits{kResponseFields, kMaxResponseFieldBytes};
 
-std::optional<LoadReport> parse_load_report(std::string_view gauges) {
-    LoadReport report;
-    bool any = false;
-    for (const auto part : split(gauges, ';')) {
-        const std::size_t colon = part.find(':');
-        if (colon == std::string_view::npos)
-            continue;
-        const auto member = platform::report_field(part.substr(0, colon));
-        const auto value = to_number<double>(part.substr(colon + 1));
-        if (!member || !value)
-            continue;
-        report.*member = *value;
-        any = true;
-    }
-    return any ? std::optional(report) : std::nullopt;
-}
-
 std::string encode(const std::string& id, const Exchange::Request& request) {
     return resp::array({"do", id, request.fields, request.body});
 }
 
-// Returns the kind of progress in an INFO message by the name of its resource.
-std::optional<ProgressKind> progress_kind(std::string_view resource) {
-    if (resource == "so_far")
-        return ProgressKind::fraction_done;
-    if (resource == "lacking")
-        return ProgressKind::spilling;
-    if (resource == "waiting")
-        return ProgressKind::waiting;
-    return std::nullopt;
-}
-
 }  // namespace
 
 EngineConnection::EngineConnection(net::Loop& loop, const net::Address& address, Micros connect_timeout,
@@ -234,15 +205,15 @@
             return;
         }
         // Copied, as handling the response may destroy this connection and its buffer.
-        const Response response{std::string(parts[0]), std::string(parts[1]), std::string(parts[2]),
-                                std::string(parts[3])};
+        const EngineResponse response{std::string(parts[0]), std::string(parts[1]), std::string(parts[2]),
+                                      std::string(parts[3])};
         in.consume(size);
         if (!on_response(response) || alive.expired())
             return;
     }
 }
 
-bool EngineConnection::on_response(const Response& response) {
+bool EngineConnection::on_response(const EngineResponse& response) {
     if (response.kind == "PONG")
         return true;
     decide::ResponseFields fields;
@@ -258,41 +229,41 @@
     if (response.kind == "HIT")
         return on_first_page(exchange, fields, response);
     if (response.kind == "PART")
-        return on_further_page(exchange, fields, response.body);
+        return on_further_page(exchange, fields, response);
     if (response.kind == "SHED" || response.kind == "LATE" || response.kind == "FAULT")
         return on_failure(exchange, fields, response);
     return end_malformed("response of unknown kind");
 }
 
 bool EngineConnection::on_progress(Exchange& exchange, const decide::ResponseFields& fields) {
-    const auto value = to_number<double>(fields.find("amount"));
-    const auto kind = progress_kind(fields.find("res"));
-    if (!value || !kind)
+    const auto note = read_progress(fields);
+    if (!note)
         return true;  // other INFO messages carry no progress
     const std::weak_ptr<char> alive = alive_;
-    exchange.events_.on_progress(*kind, *value);
+    exchange.events_.on_progress(note->kind, note->value);
     return !alive.expired();
 }
 
 bool EngineConnection::on_first_page(Exchange& exchange, const decide::ResponseFields& fields,
-                                     const Response& response) {
+                                     const EngineResponse& response) {
     if (exchange.pages_.started())
         return on_unsolicited();
     const auto pages = to_number<std::size_t>(fields.find("chunks"));
     if (!exchange.pages_.start(pages.value_or(1), response.body))
         return end_malformed("malformed page");
-    exchange.result_.work_ms = to_number<double>(fields.find("spent")).value_or(0);
-    exchange.result_.needed_mb = to_number<double>(fields.find("wanted")).value_or(0);
-    exchange.result_.load_report = parse_load_report(fields.find("gauges"));
+    const ReportedCost cost = read_cost(fields);
+    exchange.result_.work_ms = cost.work_ms;
+    exchange.result_.needed_mb = cost.needed_mb;
+    exchange.result_.load_report = read_load_report(fields);
     for (std::size_t page = 1; page < exchange.pages_.pages(); ++page)
         send(resp::array({"page", response.id, std::to_string(page)}));
     return finish_if_complete(exchange);
 }
 
 bool EngineConnection::on_further_page(Exchange& exchange, const decide::ResponseFields& fields,
-                                       const std::string& page) {
+                                       const EngineResponse& response) {
     const auto number = to_number<std::size_t>(fields.find("at")).value_or(0);
-    switch (exchange.pages_.add(number, page)) {
+    switch (exchange.pages_.add(number, response.body)) {
         case decide::ResultPages::PageVerdict::accepted:
             return finish_if_complete(exchange);
         case decide::ResultPages::PageVerdict::not_requested:
@@ -304,7 +275,7 @@
 }
 
 bool EngineConnection::on_failure(Exchange& exchange, const decide::ResponseFields& fields,
-                                  const Response& response) {
+                                  const EngineResponse& response) {
     ExchangeResult result;
     result.status = Status::failed;
     if (response.kind == "SHED")
@@ -313,7 +284,7 @@
         result.status = Status::deadline_passed;
     if (result.status != Status::failed && exchange.pages_.started())
         return end_malformed("a SHED or LATE response after a result");
-    result.load_report = parse_load_report(fields.find("gauges"));
+    result.load_report = read_load_report(fields);
     result.detail = response.body.substr(0, kMaxDetailBytes);
     return finish(exchange, std::move(result));
 }
--- a/src/node/engine_connection.hpp
+++ b/src/node/engine_connection.hpp
@@ -17,6 +17,7 @@
 #include "decide/connection_choice.hpp"
 #include "decide/engine_exchange.hpp"
 #include "net/loop.hpp"
+#include "node/engine_response.hpp"
 #include "node/exchange.hpp"
 
 namespace gatetiller::node {
@@ -84,12 +85,6 @@
     void cancel(Exchange& exchange);
 
 private:
-    struct Response {
-        std::string id;
-        std::string kind;
-        std::string fields;
-        std::string body;
-    };
     enum class StreamState {
         open,   // a partly sent request may still be sent completely on close
         ended,  // nothing more is sent
@@ -112,11 +107,13 @@
     void schedule_abort(const char* reason);
 
     // Responses. The functions return false if this connection has been destroyed.
-    bool on_response(const Response& response);
+    bool on_response(const EngineResponse& response);
     bool on_progress(Exchange& exchange, const decide::ResponseFields& fields);
-    bool on_first_page(Exchange& exchange, const decide::ResponseFields& fields, const Response& response);
-    bool on_further_page(Exchange& exchange, const decide::ResponseFields& fields, const std::string& page);
-    bool on_failure(Exchange& exchange, const decide::ResponseFields& fields, const Response& response);
+    bool on_first_page(Exchange& exchange, const decide::ResponseFields& fields,
+                       const EngineResponse& response);
+    bool on_further_page(Exchange& exchange, const decide::ResponseFields& fields,
+                         const EngineResponse& response);
+    bool on_failure(Exchange& exchange, const decide::ResponseFields& fields, const EngineResponse& response);
     bool on_unsolicited();
     bool end_malformed(const char* reason);
     bool finish_if_complete(Exchange& exchange);
--- /dev/null
+++ b/src/node/engine_response.hpp
@@ -0,0 +1,41 @@
+// Messages of an engine on the platform's protocol, and what their fields mean.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "decide/engine_exchange.hpp"
+#include "policy/gateway_policy.hpp"
+
+namespace gatetiller::node {
+
+// One message of an engine: the id of the request that it answers, its kind, its fields and its body, as
+// they arrived.
+struct EngineResponse {
+    std::string id;
+    std::string kind;
+    std::string fields;
+    std::string body;
+};
+
+// The cost of an attempt as its engine reports it: core time in milliseconds and memory in MiB; 0: not
+// reported.
+struct ReportedCost {
+    double work_ms = 0;
+    double needed_mb = 0;
+};
+
+// One note about the progress of an attempt.
+struct ProgressNote {
+    ProgressKind kind;
+    double value;
+};
+
+ReportedCost read_cost(const decide::ResponseFields& fields);
+// Returns the values of the load report that can be read, or nothing if there is none.
+std::optional<LoadReport> read_load_report(const decide::ResponseFields& fields);
+// Returns nothing if the message carries no progress.
+std::optional<ProgressNote> read_progress(const decide::ResponseFields& fields);
+
+}  // namespace gatetiller::node
