Trace which message a result's page count came from and which was malformed

At debug level the connection now logs the number of pages of each result and each malformed response with the message's fields.

--- a/src/node/engine_connection.cpp
+++ b/src/node/engine_connection.cpp
@@ -218,7 +218,7 @@
         return true;
     decide::ResponseFields fields;
     if (!fields.parse(response.fields))
-        return end_malformed("malformed response fields");
+        return end_malformed("malformed response fields", response);
     const auto found = open_.find(response.id);
     if (found == open_.end())
         return on_unsolicited();
@@ -232,7 +232,7 @@
         return on_further_page(exchange, fields, response);
     if (response.kind == "SHED" || response.kind == "LATE" || response.kind == "FAULT")
         return on_failure(exchange, fields, response);
-    return end_malformed("response of unknown kind");
+    return end_malformed("response of unknown kind", response);
 }
 
 bool EngineConnection::on_progress(Exchange& exchange, const decide::ResponseFields& fields) {
@@ -250,7 +250,9 @@
         return on_unsolicited();
     const auto pages = to_number<std::size_t>(fields.find("chunks"));
     if (!exchange.pages_.start(pages.value_or(1), response.body))
-        return end_malformed("malformed page");
+        return end_malformed("malformed page", response);
+    if (pool_.trace)
+        trace("has a result of " + std::to_string(exchange.pages_.pages()) + " pages: " + response.text());
     const ReportedCost cost = read_cost(fields);
     exchange.result_.work_ms = cost.work_ms;
     exchange.result_.needed_mb = cost.needed_mb;
@@ -271,7 +273,7 @@
         case decide::ResultPages::PageVerdict::malformed:
             break;
     }
-    return end_malformed("malformed page");
+    return end_malformed("malformed page", response);
 }
 
 bool EngineConnection::on_failure(Exchange& exchange, const decide::ResponseFields& fields,
@@ -283,7 +285,7 @@
     else if (response.kind == "LATE")
         result.status = Status::deadline_passed;
     if (result.status != Status::failed && exchange.pages_.started())
-        return end_malformed("a SHED or LATE response after a result");
+        return end_malformed("a SHED or LATE response after a result", response);
     result.load_report = read_load_report(fields);
     result.detail = response.body.substr(0, kMaxDetailBytes);
     return finish(exchange, std::move(result));
@@ -294,6 +296,13 @@
     return true;
 }
 
+// The trace shows the message itself, because its connection's end only gives the reason.
+bool EngineConnection::end_malformed(const char* reason, const EngineResponse& response) {
+    if (pool_.trace)
+        trace("has a malformed response: " + response.text());
+    return end_malformed(reason);
+}
+
 bool EngineConnection::end_malformed(const char* reason) {
     ++pool_.malformed_responses;
     end_all(ConnectionEnd::broken, StreamState::open, reason);
--- a/src/node/engine_connection.hpp
+++ b/src/node/engine_connection.hpp
@@ -116,6 +116,7 @@
     bool on_failure(Exchange& exchange, const decide::ResponseFields& fields, const EngineResponse& response);
     bool on_unsolicited();
     bool end_malformed(const char* reason);
+    bool end_malformed(const char* reason, const EngineResponse& response);
     bool finish_if_complete(Exchange& exchange);
     bool finish(Exchange& exchange, decide::ExchangeResult result);
 
--- a/src/node/engine_response.cpp
+++ b/src/node/engine_response.cpp
@@ -1,5 +1,6 @@
 #include "node/engine_response.hpp"
 
+#include <algorithm>
 #include <string_view>
 
 #include "base/text.hpp"
@@ -8,6 +9,8 @@
 namespace gatetiller::node {
 namespace {
 
+constexpr std::size_t kMaxTextBytes = 160;
+
 // Returns the kind of progress by the name of its resource.
 std::optional<ProgressKind> progress_kind(std::string_view resource) {
     if (resource == "so_far")
@@ -19,8 +22,23 @@
     return std::nullopt;
 }
 
+bool is_printable(char c) {
+    return c >= ' ' && c <= '~';
+}
+
 }  // namespace
 
+std::string EngineResponse::text() const {
+    std::string text = (id + " " + kind + " " + fields).substr(0, kMaxTextBytes);
+    std::replace_if(
+        text.begin(), text.end(),
+        [](char c) {
+            return !is_printable(c);
+        },
+        '?');
+    return text;
+}
+
 ReportedCost read_cost(const decide::ResponseFields& fields) {
     ReportedCost cost;
     cost.work_ms = to_number<double>(fields.find("spent")).value_or(0);
--- a/src/node/engine_response.hpp
+++ b/src/node/engine_response.hpp
@@ -17,6 +17,9 @@
     std::string kind;
     std::string fields;
     std::string body;
+
+    // Returns the message without its body for logs, in printable ASCII and at most 160 bytes.
+    std::string text() const;
 };
 
 // The cost of an attempt as its engine reports it: core time in milliseconds and memory in MiB; 0: not
