Do not serve a first page as the whole result when its page count is unreadable

Cause: EngineConnection::on_first_page took an unreadable or missing 'chunks' as 1, and the first of two values. Fix: a field counts only if it occurs once and is a number in its range; without a page count the message is malformed and ends its connection, as one with a wrong length does. The attempt may have executed, so it is retried only where the class allows that.

--- a/src/base/text.hpp
+++ b/src/base/text.hpp
@@ -51,6 +51,14 @@
     return value;
 }
 
+// Parses the complete text as a number from `least` to `most`. Returns nullopt if it is not a number or, as a
+// NaN and an infinity, not within that range.
+template <typename T>
+std::optional<T> to_number_in(std::string_view text, T least, T most) {
+    const auto value = to_number<T>(text);
+    return value && *value >= least && *value <= most ? value : std::nullopt;
+}
+
 // FNV-1a hash, with the same result on every platform. Different seeds give different hash functions.
 inline std::uint64_t fnv1a_hash(std::string_view text, std::uint64_t seed = 0) {
     std::uint64_t hash = 14695981039346656037ULL ^ seed;
--- a/src/decide/engine_exchange.cpp
+++ b/src/decide/engine_exchange.cpp
@@ -1,5 +1,7 @@
 #include "decide/engine_exchange.hpp"
 
+#include <algorithm>
+
 #include "decide/client_request.hpp"
 
 namespace gatetiller::decide {
@@ -56,11 +58,22 @@
     return true;
 }
 
-std::string_view ResponseFields::find(std::string_view name) const {
-    for (const auto& [key, value] : fields_)
-        if (key == name)
-            return value;
-    return {};
+std::optional<std::string_view> ResponseFields::find(std::string_view name) const {
+    std::optional<std::string_view> found;
+    for (const auto& [key, value] : fields_) {
+        if (key != name)
+            continue;
+        if (found)
+            return std::nullopt;
+        found = value;
+    }
+    return found;
+}
+
+bool ResponseFields::contains(std::string_view name) const {
+    return std::any_of(fields_.begin(), fields_.end(), [&](const auto& field) {
+        return field.first == name;
+    });
 }
 
 bool ResultPages::check_and_count(std::string_view page) {
--- a/src/decide/engine_exchange.hpp
+++ b/src/decide/engine_exchange.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/text.hpp"
 #include "policy/gateway_policy.hpp"
 
 namespace gatetiller::decide {
@@ -68,8 +69,16 @@
 public:
     // False where `text` is malformed.
     bool parse(std::string_view text);
-    // The value of the first field with that name; empty where there is none.
-    std::string_view find(std::string_view name) const;
+    // The value of the field with that name; nothing where there is none, or more than one.
+    std::optional<std::string_view> find(std::string_view name) const;
+    // Whether there is at least one field with that name.
+    bool contains(std::string_view name) const;
+    // The value of the field with that name as a number from `least` to `most`; nothing where it is not one.
+    template <typename T>
+    std::optional<T> number(std::string_view name, T least, T most) const {
+        const auto value = find(name);
+        return value ? to_number_in<T>(*value, least, most) : std::nullopt;
+    }
 
 private:
     std::vector<std::pair<std::string_view, std::string_view>> fields_;
--- a/src/lab/platform.cpp
+++ b/src/lab/platform.cpp
@@ -145,6 +145,13 @@
         c.stream->send(std::move(bytes));
 }
 
+std::string PlatformEngine::message(const std::string& id, std::string_view kind, std::string fields,
+                                    std::string_view body) const {
+    if (alter_fields)
+        fields = alter_fields(kind, std::move(fields));
+    return resp::array({id, kind, fields, body});
+}
+
 void PlatformEngine::take(Connection& c, const std::vector<std::string_view>& words) {
     const std::string verb(words.empty() ? "" : words[0]), id(words.size() > 1 ? words[1] : "");
     if (verb != "do") {
@@ -164,7 +171,7 @@
             if (found == c.results.end() || n == 0 || n >= found->second.size() ||
                 random_.chance(faults_.lost_page))
                 return say(c, resp::array({id, "FAULT", "-", "no such page"}));
-            say(c, resp::array({id, "PART", "at=" + std::to_string(n), found->second[n]}));
+            say(c, message(id, "PART", "at=" + std::to_string(n), found->second[n]));
         } else if (verb == "forget") {
             c.results.erase(id);
         } else if (verb == "ping") {
@@ -176,11 +183,12 @@
     }
     decide::ResponseFields fields;
     const bool readable = words.size() == 4 && fields.parse(words[2]);
-    const auto ms = to_number<std::int64_t>(fields.find("ms"));
+    const auto ms = to_number<std::int64_t>(fields.find("ms").value_or(""));
     const auto hints = readable ? engine::read_hints(words[3]) : Result<engine::Hints>(Error{"no statement"});
-    const auto level = fields.find("level").empty() ? 1 : to_number<int>(fields.find("level")).value_or(-1);
-    if (!readable || fields.find("kind").empty() || !ms || *ms < 1 || level < 0 || level > 3 || !hints ||
-        c.open.contains(id)) {
+    const auto level =
+        fields.contains("level") ? to_number<int>(fields.find("level").value_or("")).value_or(-1) : 1;
+    if (!readable || fields.find("kind").value_or("").empty() || !ms || *ms < 1 || level < 0 || level > 3 ||
+        !hints || c.open.contains(id)) {
         unusable_.push_back("do " + id + " " + std::string(words.size() > 2 ? words[2] : ""));
         return say(c, resp::array({id, "FAULT", "-", "unusable"}));
     }
@@ -229,7 +237,7 @@
         const double done =
             static_cast<double>(loop_.now() - run->since) / (run->hints.work_ms * kMillisecond);
         say(*run->on,
-            resp::array({run->id, "INFO", "res=so_far,amount=" + std::to_string(std::min(done, 0.99)), ""}));
+            message(run->id, "INFO", "res=so_far,amount=" + std::to_string(std::min(done, 0.99)), ""));
         note_later(run);
     });
 }
@@ -249,7 +257,7 @@
         "chunks=" + std::to_string(pages.size()) + ",spent=" + std::to_string(run->hints.work_ms) +
         ",wanted=" + std::to_string(run->hints.mem_mb) +
         ",gauges=concurrent:" + std::to_string(running_ - 1) + ";depth:" + std::to_string(line_.size());
-    const std::string hit = resp::array({id, "HIT", fields, pages[0]});
+    const std::string hit = message(id, "HIT", fields, pages[0]);
     if (random_.chance(faults_.spoilt)) {
         // The machine has done the work and what it says of it can't be read, in one of several ways.
         end(*run, "connection_ended");
--- a/src/lab/platform.hpp
+++ b/src/lab/platform.hpp
@@ -56,6 +56,9 @@
         return unusable_;
     }                                   // requests no front may send
     std::vector<std::string> commands;  // other than `do`, as they came: "undo ID", "bump ID 2"
+    // Returns the fields to send in place of those of a message of this kind (HIT, PART, INFO). May be
+    // absent.
+    std::function<std::string(std::string_view kind, std::string fields)> alter_fields;
 
 private:
     struct Connection;
@@ -68,6 +71,8 @@
     void next();
     void record(const std::string& event, const std::string& front, const std::string& id);
     void say(Connection& c, std::string bytes);
+    std::string message(const std::string& id, std::string_view kind, std::string fields,
+                        std::string_view body) const;
 
     net::Loop& loop_;
     PlatformEngineSettings settings_;
--- a/src/node/engine_connection.cpp
+++ b/src/node/engine_connection.cpp
@@ -248,8 +248,10 @@
                                      const EngineResponse& response) {
     if (exchange.pages_.started())
         return on_unsolicited();
-    const auto pages = to_number<std::size_t>(fields.find("chunks"));
-    if (!exchange.pages_.start(pages.value_or(1), response.body))
+    const auto pages = read_page_count(fields);
+    if (!pages)
+        return end_malformed("a result without a valid number of pages", response);
+    if (!exchange.pages_.start(*pages, response.body))
         return end_malformed("malformed page", response);
     if (pool_.trace)
         trace("has a result of " + std::to_string(exchange.pages_.pages()) + " pages: " + response.text());
@@ -264,7 +266,7 @@
 
 bool EngineConnection::on_further_page(Exchange& exchange, const decide::ResponseFields& fields,
                                        const EngineResponse& response) {
-    const auto number = to_number<std::size_t>(fields.find("at")).value_or(0);
+    const auto number = to_number<std::size_t>(fields.find("at").value_or("")).value_or(0);
     switch (exchange.pages_.add(number, response.body)) {
         case decide::ResultPages::PageVerdict::accepted:
             return finish_if_complete(exchange);
--- a/src/node/engine_response.cpp
+++ b/src/node/engine_response.cpp
@@ -39,17 +39,21 @@
     return text;
 }
 
+std::optional<std::size_t> read_page_count(const decide::ResponseFields& fields) {
+    return fields.number<std::size_t>("chunks", 1, decide::ResultPages::kMaxPages);
+}
+
 ReportedCost read_cost(const decide::ResponseFields& fields) {
     ReportedCost cost;
-    cost.work_ms = to_number<double>(fields.find("spent")).value_or(0);
-    cost.needed_mb = to_number<double>(fields.find("wanted")).value_or(0);
+    cost.work_ms = to_number<double>(fields.find("spent").value_or("")).value_or(0);
+    cost.needed_mb = to_number<double>(fields.find("wanted").value_or("")).value_or(0);
     return cost;
 }
 
 std::optional<LoadReport> read_load_report(const decide::ResponseFields& fields) {
     LoadReport report;
     bool any = false;
-    for (const auto part : split(fields.find("gauges"), ';')) {
+    for (const auto part : split(fields.find("gauges").value_or(""), ';')) {
         const std::size_t colon = part.find(':');
         if (colon == std::string_view::npos)
             continue;
@@ -64,8 +68,8 @@
 }
 
 std::optional<ProgressNote> read_progress(const decide::ResponseFields& fields) {
-    const auto value = to_number<double>(fields.find("amount"));
-    const auto kind = progress_kind(fields.find("res"));
+    const auto value = to_number<double>(fields.find("amount").value_or(""));
+    const auto kind = progress_kind(fields.find("res").value_or(""));
     if (!value || !kind)
         return std::nullopt;
     return ProgressNote{*kind, *value};
--- a/tests/node/engine_response_test.cpp
+++ b/tests/node/engine_response_test.cpp
@@ -12,5 +12,22 @@
     EXPECT_EQ(EngineResponse({"id", "HIT", std::string(10'000, 'x'), ""}).text().size(), 160u);
 }
 
+decide::ResponseFields parsed(std::string_view text) {
+    decide::ResponseFields fields;
+    EXPECT_TRUE(fields.parse(text)) << text;
+    return fields;
+}
+
+// Guards against a page count that cannot be read counting as 1: the first page was served as the result.
+TEST(EngineResponse, PageCountIsNothingUnlessItOccursOnceAndIsANumberInRange) {
+    EXPECT_EQ(read_page_count(parsed("spent=3,chunks=1")), 1u);
+    EXPECT_EQ(read_page_count(parsed("chunks=512")), 512u);
+    for (const char* invalid :
+         {"-", "spent=3", "Chunks=3", "chunks=", "chunks=s", "chunks=3s", "chunks= 3", "chunks=+3",
+          "chunks=-3", "chunks=0", "chunks=513", "chunks=99999999999999999999", "chunks=3.0", "chunks=0x3",
+          "chunks=nan", "chunks=1,chunks=3", "chunks=3,chunks=3", "chunks=3,spent=1,chunks=s"})
+        EXPECT_EQ(read_page_count(parsed(invalid)), std::nullopt) << invalid;
+}
+
 }  // namespace
 }  // namespace gatetiller::node
--- /dev/null
+++ b/tests/node/invalid_fields_test.cpp
@@ -0,0 +1,112 @@
+// Engines whose messages have fields that are missing, unreadable, repeated, out of range or of the wrong
+// type. The rules must hold, and a client must get a whole result or none.
+#include "rig.hpp"
+
+namespace gatetiller::testing {
+namespace {
+
+constexpr std::size_t kRowsOfSeveralPages = 200;
+
+// Returns `fields` with the value of `name` replaced, or without that field if `value` is null.
+std::string with_value(const std::string& fields, const std::string& name, const char* value) {
+    std::string result;
+    for (const auto field : split(fields, ',')) {
+        const bool matches = field.substr(0, field.find('=')) == name;
+        if (matches && value == nullptr)
+            continue;
+        result += (result.empty() ? "" : ",") + (matches ? name + "=" + value : std::string(field));
+    }
+    return result.empty() ? "-" : result;
+}
+
+class InvalidFields : public VirtualNodeTest {
+protected:
+    static constexpr int kInvalidEvery = 3;  // one of so many messages of the kind
+
+    // Adds two engines that send `value` in the field `name` of some of their messages of this kind; null:
+    // without that field.
+    void start_engines(const std::string& kind, const std::string& name, const char* value) {
+        for (const char* engine : {"s-1", "s-2"})
+            add_engine(engine).alter_fields = [this, kind, name, value](std::string_view message_kind,
+                                                                        const std::string& fields) {
+                if (message_kind != kind || ++messages_ % kInvalidEvery != 0)
+                    return fields;
+                ++altered;
+                return with_value(fields, name, value);
+            };
+        start();
+    }
+    // Sends requests with results of several pages and waits for their responses. Returns how many were
+    // served.
+    int serve_requests(int count, const std::string& cls = "lookup") {
+        auto& client = add_client();
+        std::vector<std::int32_t> sequences;
+        for (int i = 0; i < count; ++i) {
+            sequences.push_back(client.ask(make_request(cls, 10, kRowsOfSeveralPages)));
+            advance_time(60 * kMillisecond);
+        }
+        EXPECT_TRUE(run_until([&] {
+            return client.open() == 0;
+        }));
+        return static_cast<int>(std::count_if(sequences.begin(), sequences.end(), [&](std::int32_t sequence) {
+            return client.got().contains(sequence) && client.got().at(sequence).how == "served";
+        }));
+    }
+    int altered = 0;
+
+private:
+    int messages_ = 0;
+};
+
+struct InvalidValue {
+    const char* description;
+    const char* value;  // null: the field is missing
+};
+
+class InvalidPageCount : public InvalidFields, public ::testing::WithParamInterface<InvalidValue> {};
+
+// Guards against serving the first page as the whole result because the number of pages cannot be read
+// (docs/incidents/page-count-unreadable.md). The stand-in client records any other rows as a violation.
+TEST_P(InvalidPageCount, NeverServesAPartOfTheResultAsTheWhole) {
+    start_engines("HIT", "chunks", GetParam().value);
+    const int served = serve_requests(30);
+    EXPECT_GE(altered, 8);
+    EXPECT_EQ(served, 30) << "an idempotent request is retried";
+    EXPECT_NE(node->status().find(" malformed_responses=" + std::to_string(altered)), std::string::npos)
+        << node->status();
+    expect_no_violations();
+}
+
+INSTANTIATE_TEST_SUITE_P(Values, InvalidPageCount,
+                         ::testing::Values(InvalidValue{"missing", nullptr}, InvalidValue{"empty", ""},
+                                           InvalidValue{"letter", "s"}, InvalidValue{"zero", "0"},
+                                           InvalidValue{"negative", "-3"}, InvalidValue{"too_large", "513"},
+                                           InvalidValue{"overflow", "99999999999999999999"},
+                                           InvalidValue{"fraction", "3.0"},
+                                           InvalidValue{"repeated", "1,chunks=4"}),
+                         [](const auto& test) {
+                             return std::string(test.param.description);
+                         });
+
+// Guards against rejecting, which promises that nothing ran, after a result whose page count cannot be read.
+TEST_F(InvalidFields, ResultOfNonIdempotentRequestWithoutPageCountFails) {
+    settings.policy.classes[1].idempotency = Idempotency::non_idempotent;
+    start_engines("HIT", "chunks", "s");
+    auto& client = add_client();
+    for (int i = 0; i < kInvalidEvery; ++i) {
+        client.ask(make_request("load", 10, kRowsOfSeveralPages));
+        ASSERT_TRUE(run_until([&] {
+            return client.open() == 0;
+        }));
+    }
+    EXPECT_EQ(altered, 1);
+    EXPECT_EQ(std::count_if(client.got().begin(), client.got().end(),
+                            [](const auto& got) {
+                                return got.second.how == "failed";
+                            }),
+              1);
+    expect_no_violations();
+}
+
+}  // namespace
+}  // namespace gatetiller::testing
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -369,7 +369,7 @@
         if (words[0] == "do" && words.size() == 4) {
             decide::ResponseFields fields;
             (void)fields.parse(words[2]);
-            record(pair, "arrived", id, to_number<std::int64_t>(fields.find("ms")).value_or(0));
+            record(pair, "arrived", id, to_number<std::int64_t>(fields.find("ms").value_or("")).value_or(0));
             pair.open.insert(id);
         } else if (words[0] == "undo" && pair.open.erase(id) > 0) {
             record(pair, "undone", id);
