End the connection on a page whose number is unreadable instead of ignoring it

Cause: an unreadable number counted as 0, which no request asked for, so the page was dropped like a second copy and the result never became complete. Fix: a page that cannot be placed in the result is a malformed message. It ends the connection, and the attempt is retried where the class allows that.

--- a/src/node/engine_connection.cpp
+++ b/src/node/engine_connection.cpp
@@ -266,8 +266,11 @@
 
 bool EngineConnection::on_further_page(Exchange& exchange, const decide::ResponseFields& fields,
                                        const EngineResponse& response) {
-    const auto number = to_number<std::size_t>(fields.find("at").value_or("")).value_or(0);
-    switch (exchange.pages_.add(number, response.body)) {
+    const auto number = read_page_number(fields);
+    const bool beyond_result = exchange.pages_.started() && number >= exchange.pages_.pages();
+    if (!number || beyond_result)
+        return end_malformed("a page without a valid number", response);
+    switch (exchange.pages_.add(*number, response.body)) {
         case decide::ResultPages::PageVerdict::accepted:
             return finish_if_complete(exchange);
         case decide::ResultPages::PageVerdict::not_requested:
--- a/src/node/engine_response.cpp
+++ b/src/node/engine_response.cpp
@@ -43,6 +43,10 @@
     return fields.number<std::size_t>("chunks", 1, decide::ResultPages::kMaxPages);
 }
 
+std::optional<std::size_t> read_page_number(const decide::ResponseFields& fields) {
+    return fields.number<std::size_t>("at", 1, decide::ResultPages::kMaxPages - 1);
+}
+
 ReportedCost read_cost(const decide::ResponseFields& fields) {
     ReportedCost cost;
     cost.work_ms = to_number<double>(fields.find("spent").value_or("")).value_or(0);
--- a/src/node/engine_response.hpp
+++ b/src/node/engine_response.hpp
@@ -38,6 +38,8 @@
 // Returns the number of pages of a result, or nothing if the field `chunks` does not tell it. The result
 // cannot be used then: it is not known when it is complete.
 std::optional<std::size_t> read_page_count(const decide::ResponseFields& fields);
+// Returns the number of a further page of a result, or nothing if the field `at` does not tell it.
+std::optional<std::size_t> read_page_number(const decide::ResponseFields& fields);
 ReportedCost read_cost(const decide::ResponseFields& fields);
 // Returns the values of the load report that can be read, or nothing if there is none.
 std::optional<LoadReport> read_load_report(const decide::ResponseFields& fields);
--- a/tests/node/engine_response_test.cpp
+++ b/tests/node/engine_response_test.cpp
@@ -29,5 +29,14 @@
         EXPECT_EQ(read_page_count(parsed(invalid)), std::nullopt) << invalid;
 }
 
+// Guards against a page whose number cannot be read being ignored: its result never became complete.
+TEST(EngineResponse, PageNumberIsNothingUnlessItOccursOnceAndIsANumberInRange) {
+    EXPECT_EQ(read_page_number(parsed("at=1")), 1u);
+    EXPECT_EQ(read_page_number(parsed("at=511")), 511u);
+    for (const char* invalid : {"-", "At=1", "at=", "at=q", "at=1q", "at=-1", "at=0", "at=512", "at=1.0",
+                                "at=99999999999999999999", "at=1,at=2", "at=1,at=1"})
+        EXPECT_EQ(read_page_number(parsed(invalid)), std::nullopt) << invalid;
+}
+
 }  // namespace
 }  // namespace gatetiller::node
--- a/tests/node/invalid_fields_test.cpp
+++ b/tests/node/invalid_fields_test.cpp
@@ -108,5 +108,37 @@
     expect_no_violations();
 }
 
+class InvalidPageNumber : public InvalidFields, public ::testing::WithParamInterface<InvalidValue> {};
+
+// Guards against ignoring a page whose number cannot be read: the request waited for that page until its time
+// was over, although another attempt would have served it.
+TEST_P(InvalidPageNumber, RetriesInsteadOfWaitingForTheIgnoredPage) {
+    start_engines("PART", "at", GetParam().value);
+    auto& client = add_client();
+    for (int i = 0; i < 10; ++i) {
+        const Micros sent_at = loop.now();
+        const auto sequence = client.ask(make_request("lookup", 10, kRowsOfSeveralPages));
+        ASSERT_TRUE(run_until([&] {
+            return client.open() == 0;
+        }));
+        ASSERT_TRUE(client.got().contains(sequence)) << "request " << i;
+        EXPECT_EQ(client.got().at(sequence).how, "served") << "request " << i;
+        EXPECT_LT(loop.now() - sent_at, settings.policy.classes[0].latency_objective) << "request " << i;
+    }
+    EXPECT_GE(altered, 5);
+    expect_no_violations();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, InvalidPageNumber,
+    ::testing::Values(InvalidValue{"missing", nullptr}, InvalidValue{"empty", ""},
+                      InvalidValue{"letter", "q"}, InvalidValue{"zero", "0"}, InvalidValue{"negative", "-1"},
+                      InvalidValue{"beyond_result", "77"}, InvalidValue{"too_large", "513"},
+                      InvalidValue{"overflow", "99999999999999999999"}, InvalidValue{"fraction", "1.0"},
+                      InvalidValue{"repeated", "1,at=2"}),
+    [](const auto& test) {
+        return std::string(test.param.description);
+    });
+
 }  // namespace
 }  // namespace gatetiller::testing
