Ignore engines' figures that are out of range instead of averaging them

Cause: costs, load reports and notes were read as any double and kept in the policy's moving averages, which need some 6,500 reports to forget such a value. Fix: a figure counts as not reported unless it occurs once and is a number in its range. The ranges of a client's estimates are now those of engines' costs, in one place.

Before the fix 4 of the 22 new tests fail (load_huge and three of EngineResponse); the 18 other figures of FigureOutOfRange showed nothing and are kept as guards. With it node (97), decide (60), lab (26) and front (23) tests pass.

--- a/src/decide/client_request.cpp
+++ b/src/decide/client_request.cpp
@@ -1,19 +1,17 @@
 #include "decide/client_request.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <cstdint>
 #include <utility>
 
 #include "base/text.hpp"
+#include "decide/reported_values.hpp"
 
 namespace gatetiller::decide {
 namespace {
 
 constexpr std::size_t kIdDigits = 16;
 constexpr std::size_t kIdempotencyKeyDigits = 32;
-constexpr double kMaxWorkMs = 1e8;
-constexpr double kMaxMemoryMb = 1e7;
 // The maximum by which a client's timeout may exceed the deadline of its class.
 constexpr std::int64_t kTimeoutToleranceMs = 1000;
 // Bytes of an invalid value that an error message contains.
@@ -107,10 +105,7 @@
     const auto text = fields.find(name);
     if (!text)
         return 0;
-    const auto value = to_number<double>(*text);
-    if (!value || !std::isfinite(*value) || *value < 0 || *value > max)
-        return std::nullopt;
-    return value;
+    return to_number_in<double>(*text, 0, max);
 }
 
 const ClassSettings* find_class(const PolicySettings& settings, std::string_view name) {
--- a/src/node/engine_response.cpp
+++ b/src/node/engine_response.cpp
@@ -3,13 +3,14 @@
 #include <algorithm>
 #include <string_view>
 
-#include "base/text.hpp"
+#include "decide/reported_values.hpp"
 #include "platform/settings.hpp"
 
 namespace gatetiller::node {
 namespace {
 
 constexpr std::size_t kMaxTextBytes = 160;
+constexpr double kMaxWaitReason = 2;  // 1: memory, 2: a load
 
 // Returns the kind of progress by the name of its resource.
 std::optional<ProgressKind> progress_kind(std::string_view resource) {
@@ -22,6 +23,19 @@
     return std::nullopt;
 }
 
+// Returns the maximum of AttemptProgress::value.
+double max_progress_value(ProgressKind kind) {
+    switch (kind) {
+        case ProgressKind::fraction_done:
+            return 1;
+        case ProgressKind::spilling:
+            return decide::kMaxMemoryMb;
+        case ProgressKind::waiting:
+            return kMaxWaitReason;
+    }
+    return 0;
+}
+
 bool is_printable(char c) {
     return c >= ' ' && c <= '~';
 }
@@ -49,34 +63,21 @@
 
 ReportedCost read_cost(const decide::ResponseFields& fields) {
     ReportedCost cost;
-    cost.work_ms = to_number<double>(fields.find("spent").value_or("")).value_or(0);
-    cost.needed_mb = to_number<double>(fields.find("wanted").value_or("")).value_or(0);
+    cost.work_ms = fields.number<double>("spent", 0, decide::kMaxWorkMs).value_or(0);
+    cost.needed_mb = fields.number<double>("wanted", 0, decide::kMaxMemoryMb).value_or(0);
     return cost;
 }
 
 std::optional<LoadReport> read_load_report(const decide::ResponseFields& fields) {
-    LoadReport report;
-    bool any = false;
-    for (const auto part : split(fields.find("gauges").value_or(""), ';')) {
-        const std::size_t colon = part.find(':');
-        if (colon == std::string_view::npos)
-            continue;
-        const auto member = platform::report_field(part.substr(0, colon));
-        const auto value = to_number<double>(part.substr(colon + 1));
-        if (!member || !value)
-            continue;
-        report.*member = *value;
-        any = true;
-    }
-    return any ? std::optional(report) : std::nullopt;
+    return decide::read_load_report(fields.find("gauges").value_or(""), {';', ':', platform::report_field});
 }
 
 std::optional<ProgressNote> read_progress(const decide::ResponseFields& fields) {
-    const auto value = to_number<double>(fields.find("amount").value_or(""));
     const auto kind = progress_kind(fields.find("res").value_or(""));
-    if (!value || !kind)
+    if (!kind)
         return std::nullopt;
-    return ProgressNote{*kind, *value};
+    const auto value = fields.number<double>("amount", 0, max_progress_value(*kind));
+    return value ? std::optional(ProgressNote{*kind, *value}) : std::nullopt;
 }
 
 }  // namespace gatetiller::node
--- a/src/node/engine_response.hpp
+++ b/src/node/engine_response.hpp
@@ -23,7 +23,7 @@
 };
 
 // The cost of an attempt as its engine reports it: core time in milliseconds and memory in MiB; 0: not
-// reported.
+// reported, or not valid.
 struct ReportedCost {
     double work_ms = 0;
     double needed_mb = 0;
@@ -41,9 +41,10 @@
 // Returns the number of a further page of a result, or nothing if the field `at` does not tell it.
 std::optional<std::size_t> read_page_number(const decide::ResponseFields& fields);
 ReportedCost read_cost(const decide::ResponseFields& fields);
-// Returns the values of the load report that can be read, or nothing if there is none.
+// Returns the valid values of the load report, or nothing if there is none. A value that is reported twice is
+// not valid.
 std::optional<LoadReport> read_load_report(const decide::ResponseFields& fields);
-// Returns nothing if the message carries no progress.
+// Returns nothing if the message carries no progress, or if that is not valid.
 std::optional<ProgressNote> read_progress(const decide::ResponseFields& fields);
 
 }  // namespace gatetiller::node
--- a/tests/node/engine_response_test.cpp
+++ b/tests/node/engine_response_test.cpp
@@ -38,5 +38,52 @@
         EXPECT_EQ(read_page_number(parsed(invalid)), std::nullopt) << invalid;
 }
 
+// Guards against figures out of range entering the policy's moving averages, where one infinity stays for
+// good.
+TEST(EngineResponse, CostsCountAsNotReportedUnlessTheyAreNumbersInRange) {
+    const auto cost = read_cost(parsed("spent=15.5,wanted=32"));
+    EXPECT_EQ(cost.work_ms, 15.5);
+    EXPECT_EQ(cost.needed_mb, 32);
+    for (const char* invalid : {"-", "spent=,wanted=", "spent=x,wanted=3y", "spent=nan,wanted=nan",
+                                "spent=inf,wanted=inf", "spent=-1,wanted=-1", "spent=1e9,wanted=1e8",
+                                "spent=1e999,wanted=1e999", "spent=1,spent=2,wanted=1,wanted=2"}) {
+        EXPECT_EQ(read_cost(parsed(invalid)).work_ms, 0) << invalid;
+        EXPECT_EQ(read_cost(parsed(invalid)).needed_mb, 0) << invalid;
+    }
+}
+
+TEST(EngineResponse, LoadReportHasOnlyValidValues) {
+    const auto report = read_load_report(parsed("gauges=concurrent:7;depth:2;x1:1.25;unknown:3"));
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->running_queries, 7);
+    EXPECT_EQ(report->queue_depth, 2);
+    EXPECT_EQ(report->busy_disks_share, 1.25);
+    for (const char* invalid :
+         {"-", "gauges=", "gauges=concurrent", "gauges=concurrent:", "gauges=concurrent:x",
+          "gauges=concurrent:nan", "gauges=concurrent:inf", "gauges=concurrent:-1", "gauges=concurrent:1e7",
+          "gauges=concurrent:1e999", "gauges=concurrent:1;concurrent:2", "gauges=unknown:1",
+          "gauges=concurrent:1,gauges=concurrent:1"})
+        EXPECT_FALSE(read_load_report(parsed(invalid))) << invalid;
+    const auto partly = read_load_report(parsed("gauges=concurrent:nan;depth:2"));
+    ASSERT_TRUE(partly);
+    EXPECT_FALSE(partly->running_queries);
+    EXPECT_EQ(partly->queue_depth, 2);
+}
+
+TEST(EngineResponse, ProgressIsNothingUnlessItsAmountIsInRangeForItsResource) {
+    const auto note = read_progress(parsed("res=so_far,amount=0.25"));
+    ASSERT_TRUE(note);
+    EXPECT_EQ(note->kind, ProgressKind::fraction_done);
+    EXPECT_EQ(note->value, 0.25);
+    EXPECT_TRUE(read_progress(parsed("res=lacking,amount=4096")));
+    EXPECT_TRUE(read_progress(parsed("res=waiting,amount=2")));
+    for (const char* invalid : {"-", "res=so_far", "amount=0.5", "res=so_fxr,amount=0.5",
+                                "res=so_far,amount=", "res=so_far,amount=x", "res=so_far,amount=nan",
+                                "res=so_far,amount=1.01", "res=so_far,amount=-0.5", "res=lacking,amount=inf",
+                                "res=lacking,amount=-1", "res=lacking,amount=1e8", "res=waiting,amount=3",
+                                "res=so_far,amount=0.5,amount=0.9", "res=so_far,res=lacking,amount=0.5"})
+        EXPECT_FALSE(read_progress(parsed(invalid))) << invalid;
+}
+
 }  // namespace
 }  // namespace gatetiller::node
--- a/tests/node/invalid_fields_test.cpp
+++ b/tests/node/invalid_fields_test.cpp
@@ -140,5 +140,74 @@
         return std::string(test.param.description);
     });
 
+struct InvalidFigure {
+    const char* description;
+    const char* kind;
+    const char* name;
+    const char* value;
+};
+
+class FigureOutOfRange : public InvalidFields, public ::testing::WithParamInterface<InvalidFigure> {
+protected:
+    // Sends requests of these durations at an interval and waits for their responses, which must be results.
+    void expect_served(const std::vector<int>& durations_ms, Micros interval) {
+        auto& client = add_client();
+        for (const int duration_ms : durations_ms) {
+            client.ask(make_request("lookup", duration_ms));
+            if (interval > 0)
+                advance_time(interval);
+        }
+        ASSERT_TRUE(run_until([&] {
+            return client.open() == 0;
+        }));
+        EXPECT_EQ(client.got().size(), durations_ms.size());
+        for (const auto& [sequence, got] : client.got())
+            EXPECT_EQ(got.how, "served") << "request " << sequence;
+    }
+};
+
+// Guards against a figure of a few messages that keeps the policy from admitting requests for good: it stays
+// in a moving average.
+TEST_P(FigureOutOfRange, DoesNotKeepLaterRequestsFromBeingServed) {
+    start_engines(GetParam().kind, GetParam().name, GetParam().value);
+    // Every other request runs long enough for notes of progress.
+    std::vector<int> durations_ms;
+    for (int i = 0; i < 6; ++i)
+        durations_ms.insert(durations_ms.end(), {10, 250});
+    expect_served(durations_ms, 60 * kMillisecond);
+    EXPECT_GE(altered, 2);
+    for (const auto& engine : engines)
+        engine->alter_fields = nullptr;
+    advance_time(5 * kSecondMicros);
+    expect_served(std::vector<int>(24, 100), 0);
+    EXPECT_NE(node->status().find(" malformed_responses=0"), std::string::npos) << node->status();
+    expect_no_violations();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, FigureOutOfRange,
+    ::testing::Values(InvalidFigure{"work_infinite", "HIT", "spent", "inf"},
+                      InvalidFigure{"work_nan", "HIT", "spent", "nan"},
+                      InvalidFigure{"work_negative", "HIT", "spent", "-5"},
+                      InvalidFigure{"work_huge", "HIT", "spent", "1e300"},
+                      InvalidFigure{"work_unreadable", "HIT", "spent", "x"},
+                      InvalidFigure{"work_missing", "HIT", "spent", nullptr},
+                      InvalidFigure{"work_repeated", "HIT", "spent", "1,spent=2"},
+                      InvalidFigure{"memory_infinite", "HIT", "wanted", "inf"},
+                      InvalidFigure{"load_infinite", "HIT", "gauges", "concurrent:inf;depth:0"},
+                      InvalidFigure{"load_nan", "HIT", "gauges", "concurrent:nan;depth:nan"},
+                      InvalidFigure{"load_negative", "HIT", "gauges", "concurrent:-1e300;depth:-1"},
+                      InvalidFigure{"load_huge", "HIT", "gauges", "concurrent:1e300;depth:0"},
+                      InvalidFigure{"load_unreadable", "HIT", "gauges", "concurrent=7"},
+                      InvalidFigure{"load_missing", "HIT", "gauges", nullptr},
+                      InvalidFigure{"progress_nan", "INFO", "amount", "nan"},
+                      InvalidFigure{"progress_negative", "INFO", "amount", "-1e300"},
+                      InvalidFigure{"progress_unreadable", "INFO", "amount", "x"},
+                      InvalidFigure{"progress_missing", "INFO", "amount", nullptr},
+                      InvalidFigure{"progress_of_unknown_resource", "INFO", "res", "so_fxr"}),
+    [](const auto& test) {
+        return std::string(test.param.description);
+    });
+
 }  // namespace
 }  // namespace gatetiller::testing
