Do not end a result at a document whose nextUri is unreadable

What callers saw: through 'serve', the first page of a result as the whole of it, without an error, where an engine's nextUri is of another type than text, empty, or given twice. Cause: read_document passed over a member of a wrong type and kept the last of two; a document without nextUri is the last one by the protocol. Fix: a document is not read unless each member occurs once and has its type, and the path of a URI can stand in a request line. The attempt counts as lost, as with broken JSON.

MembersAreThoseThatAParserFinds...: it compared the last member only, as parsers keep the last of a repeated name; now that repeated names are refused it compares every member.

--- a/src/statement/document.cpp
+++ b/src/statement/document.cpp
@@ -68,57 +68,77 @@
     return e;
 }
 
+constexpr std::pair<const char*, std::string Document::*> kTexts[] = {
+    {"id", &Document::id},
+    {"infoUri", &Document::info_uri},
+    {"nextUri", &Document::next_uri},
+    {"partialCancelUri", &Document::partial_cancel_uri},
+    {"updateType", &Document::update_type}};
+
+constexpr std::pair<const char*, std::string Document::*> kArrays[] = {
+    {"columns", &Document::columns}, {"data", &Document::data}, {"warnings", &Document::warnings}};
+
+bool is_json_number(std::string_view raw) {
+    return raw.front() == '-' || (raw.front() >= '0' && raw.front() <= '9');
+}
+
+// Reads one member into the document. Fails if the member has another type than the protocol's: a document
+// whose `nextUri` was ignored would look like the last one of a complete result.
+Result<bool> read_member(const Member& member, Document& document) {
+    for (const auto& [key, to] : kTexts) {
+        if (member.key != key)
+            continue;
+        auto text = as_string(member.raw);
+        if (!text)
+            return Error{std::string(key) + " that is not a text"};
+        document.*to = std::move(*text);
+    }
+    for (const auto& [key, to] : kArrays) {
+        if (member.key != key)
+            continue;
+        if (member.raw.front() != '[')
+            return Error{std::string(key) + " that is not an array"};
+        document.*to = member.raw;
+    }
+    if (member.key == "updateCount") {
+        if (!is_json_number(member.raw))
+            return Error{"updateCount that is not a number"};
+        document.update_count = member.raw;
+    } else if (member.key == "stats") {
+        auto stats = read_stats(member.raw);
+        if (!stats)
+            return stats.failure();
+        document.stats = std::move(*stats);
+        document.stats_text = member.raw;
+    } else if (member.key == "error") {
+        auto error = read_error(member.raw);
+        if (!error)
+            return error.failure();
+        document.error = std::move(*error);
+        document.error_text = member.raw;
+    }
+    return true;
+}
+
 }  // namespace
 
 Result<Document> read_document(std::string_view text) {
     auto found = members(text);
     if (!found)
         return Error{found.error()};
-    Document d;
-    for (const Member& m : *found) {
-        if (m.raw == "null")
-            continue;  // absent, to be generous
-        const auto string_into = [&](std::string& to) {
-            if (auto s = as_string(m.raw))
-                to = std::move(*s);
-        };
-        if (m.key == "id")
-            string_into(d.id);
-        else if (m.key == "infoUri")
-            string_into(d.info_uri);
-        else if (m.key == "nextUri")
-            string_into(d.next_uri);
-        else if (m.key == "partialCancelUri")
-            string_into(d.partial_cancel_uri);
-        else if (m.key == "columns")
-            d.columns = m.raw;
-        else if (m.key == "data")
-            d.data = m.raw;
-        else if (m.key == "warnings")
-            d.warnings = m.raw;
-        else if (m.key == "updateType")
-            string_into(d.update_type);
-        else if (m.key == "updateCount")
-            d.update_count = m.raw;
-        else if (m.key == "stats") {
-            auto stats = read_stats(m.raw);
-            if (!stats)
-                return Error{stats.error()};
-            d.stats = std::move(*stats);
-            d.stats_text = m.raw;
-        } else if (m.key == "error") {
-            auto error = read_error(m.raw);
-            if (!error)
-                return Error{error.error()};
-            d.error = std::move(*error);
-            d.error_text = m.raw;
-        }
+    Document document;
+    for (const Member& member : *found) {
+        if (member.raw == "null")
+            continue;  // as if it were absent
+        const auto read = read_member(member, document);
+        if (!read)
+            return read.failure();
+        if (member.key == "nextUri" && document.final())
+            return Error{"an empty nextUri"};
     }
-    if (d.id.empty())
+    if (document.id.empty())
         return Error{"a document without id"};
-    if (!d.data.empty() && d.data.front() != '[')
-        return Error{"data that is not an array"};
-    return d;
+    return document;
 }
 
 std::string write_stats(const Stats& s) {
--- a/src/statement/engine_call.cpp
+++ b/src/statement/engine_call.cpp
@@ -1,6 +1,18 @@
 #include "statement/engine_call.hpp"
 
+#include <algorithm>
+
 namespace gatetiller::statement {
+namespace {
+
+// Whether the text can stand in a request line: visible ASCII without spaces.
+bool is_path(std::string_view text) {
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+        return c > ' ' && c <= '~';
+    });
+}
+
+}  // namespace
 
 EngineCall::EngineCall(net::Loop& loop, http::Client& client, EngineCallOptions options, Events& events)
     : loop_(loop), client_(client), options_(options), events_(events) {}
@@ -77,9 +89,10 @@
         return end({CallEnd::How::lost, 0, "a document that can't be read: " + document.error(), 0});
     const bool final = document->final();
     if (!final) {
-        next_ = path_of(document->next_uri);
-        if (next_.empty())
+        std::string path = path_of(document->next_uri);
+        if (!is_path(path))
             return end({CallEnd::How::lost, 0, "a nextUri without a path", 0});
+        next_ = std::move(path);
     }
     state_ = final ? State::over : State::has_next;
     events_.on_document(*this, std::move(*document), a.response.headers);  // may destroy this
--- a/src/statement/json.cpp
+++ b/src/statement/json.cpp
@@ -1,5 +1,7 @@
 #include "statement/json.hpp"
 
+#include <algorithm>
+
 #include "base/text.hpp"
 
 namespace gatetiller::statement {
@@ -7,6 +9,16 @@
 
 constexpr int kDepth = 100;
 
+std::optional<std::string_view> repeated_name(const std::vector<Member>& members) {
+    std::vector<std::string_view> names;
+    names.reserve(members.size());
+    for (const Member& member : members)
+        names.push_back(member.key);
+    std::sort(names.begin(), names.end());
+    const auto repeated = std::adjacent_find(names.begin(), names.end());
+    return repeated == names.end() ? std::nullopt : std::optional(*repeated);
+}
+
 class Scanner {
 public:
     explicit Scanner(std::string_view text) : text_(text) {}
@@ -40,6 +52,8 @@
         space();
         if (at_ != text_.size())
             return wrong("text after the end");
+        if (const auto name = repeated_name(found))
+            return Error{"member '" + std::string(*name) + "' occurs twice"};
         return found;
     }
     bool any(int depth) {
--- a/src/statement/json.hpp
+++ b/src/statement/json.hpp
@@ -18,7 +18,8 @@
     std::string_view raw;  // the value as it stands in the text
 };
 
-// Members of the one object that the text holds. Deeper than 100 levels is refused.
+// Returns the members of the one object that the text holds. Fails if the text is not an object, is deeper
+// than 100 levels, or names a member twice: parsers differ in which of the two they use.
 Result<std::vector<Member>> members(std::string_view text);
 // How many elements an array holds, as text that members() has checked.
 std::size_t array_length(std::string_view raw);
--- /dev/null
+++ b/tests/front/invalid_documents_test.cpp
@@ -0,0 +1,105 @@
+// Engines whose documents have members that are missing, unreadable, repeated, out of range or of the wrong
+// type.
+#include "front/front_test_bed.hpp"
+#include "http/server.hpp"
+
+namespace gatetiller::testing {
+namespace {
+
+// An engine of the statement API that answers every statement with two pages, [[1]] and [[2]]. A test
+// replaces its documents.
+class ScriptedEngine {
+public:
+    explicit ScriptedEngine(net::Loop& loop)
+        : server_(loop, {}, [this](http::Request& request, http::Server::Reply reply) {
+              reply.send(answer(request));
+          }) {
+        address = *server_.listen(*net::Address::parse("127.0.0.1:0"));
+    }
+    static std::string uri(int page) {
+        return "\"http://engine/v1/statement/executing/q/s/" + std::to_string(page) + "\"";
+    }
+    static std::string document(const std::string& members, const std::string& state = "\"RUNNING\"") {
+        return R"({"id":"q","infoUri":"http://engine/q",)" + members + R"("stats":{"state":)" + state + "}}";
+    }
+
+    // The documents of one statement: that of the POST, then those of the polls.
+    std::vector<std::string> documents = {
+        document("\"nextUri\":" + uri(1) + ",", "\"QUEUED\""),
+        document("\"nextUri\":" + uri(2) + R"(,"columns":[{"name":"a"}],"data":[[1]],)"),
+        document("\"data\":[[2]],", "\"FINISHED\"")};
+    // Documents of the first statement alone.
+    std::map<std::size_t, std::string> first_statement;
+    std::string info = R"({"starting":false,"uptime":"2.00h"})";
+    std::string state = "\"ACTIVE\"";
+    http::Headers headers;  // of every document
+    int statements = 0;
+    net::Address address;
+
+private:
+    http::Response answer(const http::Request& request) {
+        if (request.target == "/v1/info")
+            return statement::json_response(200, info);
+        if (request.target == "/v1/info/state")
+            return statement::json_response(200, state);
+        if (request.method == "DELETE")
+            return {204, {}, {}};
+        const bool is_post = request.method == "POST";
+        statements += is_post;
+        const std::size_t page =
+            is_post
+                ? 0
+                : to_number<std::size_t>(request.target.substr(request.target.rfind('/') + 1)).value_or(0);
+        auto text = documents.at(page);
+        if (const auto altered = first_statement.find(page);
+            altered != first_statement.end() && statements == 1)
+            text = altered->second;
+        auto response = statement::json_response(200, text);
+        for (const auto& [name, value] : headers)
+            response.headers.add(name, value);
+        return response;
+    }
+
+    http::Server server_;
+};
+
+// A front whose only engine is scripted.
+class InvalidDocuments : public ::testing::Test {
+protected:
+    InvalidDocuments() {
+        bed.settings.engines.at(0).address = engine.address;
+        bed.restart();
+    }
+    ClientStatement& run(const std::string& source = "short") {
+        ClientStatement& submission = bed.submit("SELECT 1", source);
+        EXPECT_TRUE(bed.wait_until([&] {
+            return submission.ended;
+        }));
+        return submission;
+    }
+    FrontTestBed bed{1};
+    ScriptedEngine engine{bed.loop};
+};
+
+class InvalidNextUri : public InvalidDocuments, public ::testing::WithParamInterface<const char*> {};
+
+// Guards against serving the first page as the whole result because the URI of the next one cannot be read.
+TEST_P(InvalidNextUri, NeverServesAPartOfTheResultAsTheWhole) {
+    engine.first_statement[1] =
+        ScriptedEngine::document(std::string(GetParam()) + R"(,"columns":[{"name":"a"}],"data":[[1]],)");
+    const ClientStatement& submission = run();
+    EXPECT_EQ(submission.error(), "");
+    EXPECT_EQ(submission.pages, (std::vector<std::string>{"[[1]]", "[[2]]"}));
+    EXPECT_EQ(engine.statements, 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, InvalidNextUri,
+    ::testing::Values(R"("nextUri":2)", R"("nextUri":true)", R"("nextUri":["http://e/x"])",
+                      R"("nextUri":{"uri":"http://e/x"})", R"("nextUri":"")", R"("nextUri":"http://engine")",
+                      R"("nextUri":"http://e/v1/statement/executing/q/s/2\r\nX: y")",
+                      R"("nextUri":"http://e/v1/statement/executing/q/s/ 2")",
+                      R"("nextUri":"http://e/v1/statement/executing/q/s/2","nextUri":null)"));
+
+}  // namespace
+}  // namespace gatetiller::testing
--- a/tests/statement/statement_test.cpp
+++ b/tests/statement/statement_test.cpp
@@ -67,10 +67,7 @@
             continue;
         for (const auto& m : *found) {
             const Json value = Json::parse(m.raw);
-            // Of a name that comes twice, parsers keep the last.
-            if (&m == &found->back()) {
-                EXPECT_EQ(parsed.at(m.key), value) << "seed " << seed;
-            }
+            EXPECT_EQ(parsed.at(m.key), value) << "seed " << seed;
             if (value.is_string()) {
                 EXPECT_EQ(*as_string(m.raw), value.get<std::string>()) << "seed " << seed;
             }
@@ -111,6 +108,43 @@
         EXPECT_FALSE(read_document(bad)) << bad;
 }
 
+// Guards against a `nextUri` that cannot be read counting as absent: the document then looked like the last
+// one, and its rows like the whole result.
+TEST(Document, IsNotReadUnlessEachMemberOccursOnceAndHasItsType) {
+    const auto document_with = [](const std::string& member) {
+        return read_document(R"({"id":"q","infoUri":"i",)" + member + R"(,"stats":{"state":"RUNNING"}})");
+    };
+    ASSERT_TRUE(document_with(R"("nextUri":"http://e/v1/statement/executing/q/s/2","data":[[1]])"));
+    EXPECT_TRUE(document_with(R"("nextUri":null,"data":null,"error":null)"));  // as if absent
+    for (const char* invalid : {R"("nextUri":7)",
+                                R"("nextUri":true)",
+                                R"("nextUri":[])",
+                                R"("nextUri":{"uri":"http://e/x"})",
+                                R"("nextUri":"")",
+                                R"("nextUri":"http://e/x","nextUri":"http://e/y")",
+                                R"("nextUri":"http://e/x","nextUri":null)",
+                                R"("nextUri":"http://e/x","next\u0055ri":"http://e/y")",
+                                R"("data":{})",
+                                R"("data":"rows")",
+                                R"("data":[[1]],"data":[[2]])",
+                                R"("columns":{})",
+                                R"("columns":1)",
+                                R"("warnings":"none")",
+                                R"("error":"text")",
+                                R"("error":[])",
+                                R"("error":{},"error":{})",
+                                R"("error":{"message":"a","message":"b"})",
+                                R"("updateType":1)",
+                                R"("updateCount":"3")",
+                                R"("partialCancelUri":1)",
+                                R"("stats":{"state":"RUNNING"})"})
+        EXPECT_FALSE(document_with(invalid)) << invalid;
+    EXPECT_FALSE(read_document(R"({"id":7,"stats":{}})"));
+    EXPECT_FALSE(read_document(R"({"id":"q","id":"q","stats":{}})"));
+    EXPECT_FALSE(read_document(R"({"id":"q","stats":[]})"));
+    EXPECT_FALSE(read_document(R"({"id":"q","stats":{"state":"RUNNING","state":"FAILED"}})"));
+}
+
 TEST(Context, ReadsBothFamiliesAndKeepsWhatAClientSet) {
     for (const std::string family : {"X-Trino-", "x-presto-"}) {
         http::Headers h;
