Do not take unreadable statistics as proof that a statement has not executed

What callers saw: through 'serve', a statement of a class that may execute only once was sent twice after a poll whose 'stats' are missing or unreadable and QUERY_QUEUE_FULL. Cause: an unreadable figure was read as 0 and an absent state as QUEUED; without a sign of execution QUERY_QUEUE_FULL counts as a proof that nothing ran. Fix: statistics tell whether all of them could be read; otherwise the query may have executed. Figures that are negative or over 1e15 count as not told.

--- a/src/front/engine_responses.cpp
+++ b/src/front/engine_responses.cpp
@@ -8,9 +8,11 @@
 namespace gatetiller::front {
 namespace {
 
-bool indicates_execution(const statement::Document& document) {
-    return document.stats.cpu_ms > 0 || document.has_rows() || document.stats.state == "RUNNING" ||
-           document.stats.state == "FINISHING";
+// Whether the query may have executed, for all that its document tells.
+bool may_have_executed(const statement::Document& document) {
+    const statement::Stats& stats = document.stats;
+    return !stats.valid || stats.cpu_ms > 0 || document.has_rows() || stats.state == "RUNNING" ||
+           stats.state == "FINISHING";
 }
 
 decide::AttemptEnd::Kind kind_of(statement::CallEnd::How how) {
@@ -56,7 +58,7 @@
     attempt.statement.stats = document.stats;
     attempt.engine_query_id = document.id;
     attempt.row_bytes += static_cast<std::int64_t>(document.data.size());
-    attempt.executed = attempt.executed || indicates_execution(document);
+    attempt.executed = attempt.executed || may_have_executed(document);
     if (!document.columns.empty())
         attempt.columns = document.columns;
     if (document.final())
--- a/src/statement/document.cpp
+++ b/src/statement/document.cpp
@@ -1,16 +1,32 @@
 #include "statement/document.hpp"
 
+#include <algorithm>
+
 #include "base/text.hpp"
 #include "statement/json.hpp"
 
 namespace gatetiller::statement {
 namespace {
 
-std::int64_t whole(std::string_view raw) {
-    if (const auto n = to_number<std::int64_t>(raw))
-        return *n;
-    const auto d = to_number<double>(raw);  // written with a fraction or an exponent
-    return d && *d > -9e18 && *d < 9e18 ? static_cast<std::int64_t>(*d) : 0;
+// The maximum of a figure in the statistics, in milliseconds, bytes or rows.
+constexpr double kMaxFigure = 1e15;
+
+// States of a query, as published.
+constexpr std::string_view kStates[] = {"QUEUED",      "WAITING_FOR_RESOURCES",
+                                        "DISPATCHING", "PLANNING",
+                                        "STARTING",    "RUNNING",
+                                        "FINISHING",   "FINISHED",
+                                        "FAILED"};
+
+// Returns nothing unless the value is a number from 0 to kMaxFigure.
+std::optional<std::int64_t> read_figure(std::string_view raw) {
+    // It may be written with a fraction or an exponent.
+    const auto value = to_number_in<double>(raw, 0, kMaxFigure);
+    return value ? std::optional(static_cast<std::int64_t>(*value)) : std::nullopt;
+}
+
+std::int64_t read_error_code(std::string_view raw) {
+    return to_number<std::int64_t>(raw).value_or(0);
 }
 
 constexpr std::pair<const char*, std::int64_t Stats::*> kNumbers[] = {
@@ -29,25 +45,66 @@
     {"peakMemoryBytes", &Stats::peak_memory_bytes},
     {"spilledBytes", &Stats::spilled_bytes}};
 
+std::optional<bool> read_flag(std::string_view raw) {
+    if (raw != "true" && raw != "false")
+        return std::nullopt;
+    return raw == "true";
+}
+
+bool read_state(std::string_view raw, Stats& stats) {
+    auto state = as_string(raw);
+    if (!state || std::find(std::begin(kStates), std::end(kStates), *state) == std::end(kStates))
+        return false;
+    stats.state = std::move(*state);
+    return true;
+}
+
+template <typename T, typename To>
+bool assign(const std::optional<T>& value, To& to) {
+    if (value)
+        to = *value;
+    return value.has_value();
+}
+
+// Returns false if the value of a known member cannot be read; it keeps its default then.
+bool read_stats_member(const Member& member, Stats& stats) {
+    if (member.key == "queued")
+        return assign(read_flag(member.raw), stats.queued);
+    if (member.key == "scheduled")
+        return assign(read_flag(member.raw), stats.scheduled);
+    if (member.key == "progressPercentage")
+        return assign(to_number_in<double>(member.raw, 0, 100), stats.progress);
+    for (const auto& [key, to] : kNumbers)
+        if (member.key == key)
+            return assign(read_figure(member.raw), stats.*to);
+    return true;
+}
+
+// Statistics without a state: the query may be executing.
+Stats unknown_stats() {
+    Stats stats;
+    stats.state = "RUNNING";
+    stats.valid = false;
+    return stats;
+}
+
 Result<Stats> read_stats(std::string_view raw) {
     auto found = members(raw);
     if (!found)
         return Error{"stats: " + found.error()};
-    Stats s;
-    for (const Member& m : *found) {
-        if (m.key == "state")
-            s.state = as_string(m.raw).value_or("");
-        else if (m.key == "queued")
-            s.queued = m.raw == "true";
-        else if (m.key == "scheduled")
-            s.scheduled = m.raw == "true";
-        else if (m.key == "progressPercentage")
-            s.progress = to_number<double>(m.raw).value_or(0);
-        for (const auto& [key, member] : kNumbers)
-            if (m.key == key)
-                s.*member = whole(m.raw);
+    Stats stats = unknown_stats();
+    bool has_state = false;
+    bool others_valid = true;
+    for (const Member& member : *found) {
+        if (member.raw == "null")
+            continue;  // as if it were absent
+        if (member.key == "state")
+            has_state = read_state(member.raw, stats);
+        else
+            others_valid = read_stats_member(member, stats) && others_valid;
     }
-    return s;
+    stats.valid = has_state && others_valid;
+    return stats;
 }
 
 Result<StatementError> read_error(std::string_view raw) {
@@ -59,7 +116,7 @@
         if (m.key == "message")
             e.message = as_string(m.raw).value_or("");
         else if (m.key == "errorCode")
-            e.code = whole(m.raw);
+            e.code = read_error_code(m.raw);
         else if (m.key == "errorName")
             e.name = as_string(m.raw).value_or("");
         else if (m.key == "errorType")
@@ -127,6 +184,7 @@
     if (!found)
         return Error{found.error()};
     Document document;
+    document.stats = unknown_stats();
     for (const Member& member : *found) {
         if (member.raw == "null")
             continue;  // as if it were absent
--- a/tests/front/invalid_documents_test.cpp
+++ b/tests/front/invalid_documents_test.cpp
@@ -101,5 +101,36 @@
                       R"("nextUri":"http://e/v1/statement/executing/q/s/ 2")",
                       R"("nextUri":"http://e/v1/statement/executing/q/s/2","nextUri":null)"));
 
+class InvalidStatistics : public InvalidDocuments, public ::testing::WithParamInterface<const char*> {};
+
+// Guards against sending a statement that must not execute twice again after a document whose state or work
+// cannot be read, as if that proved that it waited in the queue.
+TEST_P(InvalidStatistics, DoNotProveThatAStatementHasNotExecuted) {
+    engine.first_statement[1] = "{\"id\":\"q\",\"nextUri\":" + ScriptedEngine::uri(2) + GetParam() + "}";
+    engine.first_statement[2] =
+        R"({"id":"q","error":{"message":"full","errorName":"QUERY_QUEUE_FULL","errorType":"INSUFFICIENT_RESOURCES"},)"
+        R"("stats":{"state":"FAILED"}})";
+    const ClientStatement& submission = run("unsafe");
+    EXPECT_NE(submission.error(), "");
+    EXPECT_NE(submission.error(), "QUERY_QUEUE_FULL") << "a promise that it has not executed";
+    EXPECT_EQ(engine.statements, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Values, InvalidStatistics,
+                         ::testing::Values("", R"(,"stats":{})", R"(,"stats":{"state":7,"cpuTimeMillis":5})",
+                                           R"(,"stats":{"state":"RUNN1NG"})", R"(,"stats":{"state":null})",
+                                           R"(,"stats":{"state":"QUEUED","cpuTimeMillis":"5"})",
+                                           R"(,"stats":{"state":"QUEUED","cpuTimeMillis":-5})"));
+
+// A state that the engine tells before the execution is that proof.
+TEST_F(InvalidDocuments, StatementRejectedInTheQueueIsSentAgain) {
+    engine.first_statement[1] = ScriptedEngine::document(
+        R"("error":{"message":"full","errorName":"QUERY_QUEUE_FULL","errorType":"INSUFFICIENT_RESOURCES"},)",
+        "\"FAILED\"");
+    const ClientStatement& submission = run("unsafe");
+    EXPECT_EQ(submission.error(), "");
+    EXPECT_EQ(engine.statements, 2);
+}
+
 }  // namespace
 }  // namespace gatetiller::testing
--- a/tests/statement/statement_test.cpp
+++ b/tests/statement/statement_test.cpp
@@ -145,6 +145,37 @@
     EXPECT_FALSE(read_document(R"({"id":"q","stats":{"state":"RUNNING","state":"FAILED"}})"));
 }
 
+// Guards against statistics that cannot be read counting as proof that a query has not executed, and against
+// figures out of range reaching the policy and the accounts.
+TEST(Document, StatisticsAreInvalidUnlessTheStateAndAllFiguresCanBeRead) {
+    const auto stats_of = [](const std::string& stats) {
+        return read_document("{\"id\":\"q\"" + (stats.empty() ? "" : ",\"stats\":" + stats) + "}")->stats;
+    };
+    const Stats valid = stats_of(
+        R"({"state":"QUEUED","queued":true,"progressPercentage":12.5,"cpuTimeMillis":7.0,"nodes":null})");
+    EXPECT_TRUE(valid.valid);
+    EXPECT_TRUE(valid.queued);
+    EXPECT_EQ(valid.cpu_ms, 7);
+    EXPECT_EQ(valid.progress, 12.5);
+    for (const char* invalid :
+         {"", "{}", R"({"state":null})", R"({"state":7})", R"({"state":"RUNN1NG"})", R"({"state":"queued"})",
+          R"({"state":"QUEUED","queued":1})", R"({"state":"QUEUED","queued":"true"})",
+          R"({"state":"QUEUED","scheduled":"x"})", R"({"state":"QUEUED","cpuTimeMillis":"7"})",
+          R"({"state":"QUEUED","cpuTimeMillis":-7})", R"({"state":"QUEUED","cpuTimeMillis":1e16})",
+          R"({"state":"QUEUED","cpuTimeMillis":1e999})", R"({"state":"QUEUED","cpuTimeMillis":true})",
+          R"({"state":"QUEUED","peakMemoryBytes":99999999999999999999})",
+          R"({"state":"QUEUED","progressPercentage":101})", R"({"state":"QUEUED","progressPercentage":-1})",
+          R"({"state":"QUEUED","progressPercentage":"12"})"}) {
+        const Stats stats = stats_of(invalid);
+        EXPECT_FALSE(stats.valid) << invalid;
+        EXPECT_EQ(stats.cpu_ms, 0) << invalid;
+        EXPECT_EQ(stats.peak_memory_bytes, 0) << invalid;
+        EXPECT_EQ(stats.progress, 0) << invalid;
+    }
+    EXPECT_EQ(stats_of("").state, "RUNNING");
+    EXPECT_EQ(stats_of(R"({"state":"RUNN1NG"})").state, "RUNNING");
+}
+
 TEST(Context, ReadsBothFamiliesAndKeepsWhatAClientSet) {
     for (const std::string family : {"X-Trino-", "x-presto-"}) {
         http::Headers h;
