Do not count an unknown progress as none and cancel the attempt for it

What callers saw: through 'serve', a statement of 2 s at an engine that tells no 'progressPercentage', or one that cannot be read, was cancelled, sent again and refused after 3 s. Cause: an absent or unreadable progress was read as 0, from which the policy extrapolates an attempt that never ends. Fix: the progress is optional; where it is unknown the policy hears once a period that the attempt runs and waits for nothing.

--- a/src/cli/query.cpp
+++ b/src/cli/query.cpp
@@ -164,7 +164,7 @@
                               printer.take(d);
                               if (terminal)
                                   std::fprintf(stderr, "\r\033[K%s %.0f%%", d.stats.state.c_str(),
-                                               d.stats.progress);
+                                               d.stats.progress.value_or(0));
                           },
                           over});
     };
--- a/src/decide/progress_reporter.cpp
+++ b/src/decide/progress_reporter.cpp
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr double kBytesPerMebibyte = 1048576.0;
+constexpr double kPercent = 100;
 // Values of ProgressKind::waiting.
 constexpr double kWaitsForNothing = 0;
 constexpr double kWaitsForMemory = 1;
@@ -32,7 +33,9 @@
             waiting_reported_at_ = now;
         }
     } else if (now - progress_reported_at_ >= period_) {
-        updates.push_back({ProgressKind::fraction_done, stats.progress / 100});
+        updates.push_back(stats.progress
+                              ? ProgressUpdate{ProgressKind::fraction_done, *stats.progress / kPercent}
+                              : ProgressUpdate{ProgressKind::waiting, kWaitsForNothing});
         progress_reported_at_ = now;
     }
     waiting_for_ = waiting_for;
--- a/src/decide/progress_reporter.hpp
+++ b/src/decide/progress_reporter.hpp
@@ -4,11 +4,13 @@
 // frequent updates would make a query that has just begun look as if it never ended. So progress is reported
 // once a period, the first time a period after the attempt's start. Two facts are reported as soon as they
 // are observed: that the attempt spills (each time the spilled bytes grow), and that it waits (when it begins
-// to wait or waits for something else, and then once a period). Times are microseconds of one monotonic
-// clock.
+// to wait or waits for something else, and then once a period). Where the progress is not known, what is
+// reported once a period is that the attempt waits for nothing: a progress of 0 would look like a query that
+// never ends. Times are microseconds of one monotonic clock.
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "policy/gateway_policy.hpp"
@@ -17,8 +19,8 @@
 
 // The statistics of one document.
 struct QueryStats {
-    // Per cent.
-    double progress = 0;
+    // Per cent; nothing where the engine does not tell it.
+    std::optional<double> progress{};
     // The engine has the query in its queue: it waits for memory.
     bool queued = false;
     // The query is scheduled; with queued and without running splits it waits for data to be loaded.
@@ -28,8 +30,8 @@
     std::int64_t spilled_bytes = 0;
 };
 
-// One update for the policy. `value`: for spilling MiB, for waiting 1 (memory) or 2 (data), for fraction_done
-// a fraction from 0 to 1.
+// One update for the policy. `value`: for spilling MiB, for waiting 0 (nothing), 1 (memory) or 2 (data), for
+// fraction_done a fraction from 0 to 1.
 struct ProgressUpdate {
     ProgressKind kind;
     double value;
--- a/src/statement/document.cpp
+++ b/src/statement/document.cpp
@@ -202,7 +202,7 @@
 std::string write_stats(const Stats& s) {
     std::string out = "{\"state\":" + json_string(s.state) + ",\"queued\":" + (s.queued ? "true" : "false") +
                       ",\"scheduled\":" + (s.scheduled ? "true" : "false") +
-                      ",\"progressPercentage\":" + std::to_string(s.progress);
+                      ",\"progressPercentage\":" + std::to_string(s.progress.value_or(0));
     for (const auto& [key, member] : kNumbers)
         out.append(",\"").append(key).append("\":").append(std::to_string(s.*member));
     return out += '}';
--- a/src/statement/document.hpp
+++ b/src/statement/document.hpp
@@ -13,7 +13,7 @@
 struct Stats {
     std::string state = "QUEUED";
     bool queued = false, scheduled = false;
-    double progress = 0;  // per cent
+    std::optional<double> progress{};  // per cent
     std::int64_t nodes = 0, total_splits = 0, queued_splits = 0, running_splits = 0, completed_splits = 0;
     std::int64_t cpu_ms = 0, wall_ms = 0, queued_ms = 0, elapsed_ms = 0;
     std::int64_t rows = 0, bytes = 0, input_bytes = 0, peak_memory_bytes = 0, spilled_bytes = 0;
