--- a/tests/front/invalid_documents_test.cpp
+++ b/tests/front/invalid_documents_test.cpp
@@ -36,6 +36,7 @@
     http::Headers headers;  // of every document
     Micros poll_duration = 0;
     int statements = 0;
+    int info_polls = 0;
     net::Address address;
 
 private:
@@ -48,8 +49,10 @@
         });
     }
     http::Response answer(const http::Request& request) {
-        if (request.target == "/v1/info")
+        if (request.target == "/v1/info") {
+            ++info_polls;
             return statement::json_response(200, info);
+        }
         if (request.target == "/v1/info/state")
             return statement::json_response(200, state);
         if (request.method == "DELETE")
@@ -88,6 +91,16 @@
         }));
         return submission;
     }
+    EndpointState state() {
+        return bed.front().engines().all().begin()->second->state_tracker.endpoint().state;
+    }
+    // Waits until the front has read `info` and `state` as they stand now.
+    void wait_for_status() {
+        const int before = engine.info_polls;
+        ASSERT_TRUE(bed.wait_until([&] {
+            return engine.info_polls >= before + 3;
+        }));
+    }
     FrontTestBed bed{1};
     ScriptedEngine engine{bed.loop};
 };
@@ -167,5 +180,38 @@
     EXPECT_EQ(engine.statements, 2);
 }
 
+// Guards against sending to an engine that shuts down because a later report of its state cannot be read.
+TEST_F(InvalidDocuments, EngineThatShutsDownIsNotReadyAgainUntilItSaysSo) {
+    engine.state = "\"SHUTTING_DOWN\"";
+    wait_for_status();
+    ASSERT_EQ(state(), EndpointState::draining);
+    for (const char* unreadable :
+         {"", "\"SHUTT1NG_DOWN\"", "7", "null", "SHUTTING_DOWN", "{\"state\":1}", "\"\""}) {
+        engine.state = unreadable;
+        wait_for_status();
+        EXPECT_EQ(state(), EndpointState::draining) << unreadable;
+    }
+    engine.state = "\"ACTIVE\"";
+    EXPECT_TRUE(bed.wait_until([&] {
+        return state() == EndpointState::ready;
+    }));
+}
+
+TEST_F(InvalidDocuments, EngineThatStartsIsNotReadyUntilItSaysSo) {
+    engine.info = R"({"starting":true})";
+    wait_for_status();
+    ASSERT_EQ(state(), EndpointState::draining);
+    for (const char* unreadable :
+         {R"({"starting":"false"})", R"({"starting":0})", R"({"starting":false,"starting":true})", "{", ""}) {
+        engine.info = unreadable;
+        wait_for_status();
+        EXPECT_EQ(state(), EndpointState::draining) << unreadable;
+    }
+    engine.info = R"({"starting":false,"uptime":"2.00h"})";
+    EXPECT_TRUE(bed.wait_until([&] {
+        return state() == EndpointState::ready;
+    }));
+}
+
 }  // namespace
 }  // namespace gatetiller::testing
