Ignore load headers and Retry-After that are out of range or given twice

Fix: both have a range, and count as not told where the header occurs twice. A load report is read by one function for both protocols.

--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -24,6 +24,10 @@
                 return value;
         return std::nullopt;
     }
+    // Returns the field with this name, ignoring case, or nullopt if it occurs more than once.
+    std::optional<std::string_view> find_only(std::string_view name) const {
+        return count(name) == 1 ? find(name) : std::nullopt;
+    }
     std::size_t count(std::string_view name) const {
         std::size_t n = 0;
         for (const auto& field : fields_)
--- a/src/statement/client.cpp
+++ b/src/statement/client.cpp
@@ -12,8 +12,7 @@
             return c.next();
         ClientResult r;
         r.how = ClientResult::How::answered;
-        if (const auto after = headers.find("Retry-After"))
-            r.retry_after = to_number<Micros>(*after).value_or(0) * kSecondMicros;
+        r.retry_after = read_retry_after(headers);
         r.last = std::move(d);
         if (const auto end = std::exchange(events.end, nullptr))
             end(r);
--- a/src/statement/engine_call.cpp
+++ b/src/statement/engine_call.cpp
@@ -5,6 +5,8 @@
 namespace gatetiller::statement {
 namespace {
 
+constexpr Micros kMaxRetryAfterSeconds = 86'400;
+
 // Whether the text can stand in a request line: visible ASCII without spaces.
 bool is_path(std::string_view text) {
     return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
@@ -14,6 +16,11 @@
 
 }  // namespace
 
+Micros read_retry_after(const http::Headers& headers) {
+    const auto text = headers.find_only("Retry-After").value_or("");
+    return to_number_in<Micros>(text, 0, kMaxRetryAfterSeconds).value_or(0) * kSecondMicros;
+}
+
 EngineCall::EngineCall(net::Loop& loop, http::Client& client, EngineCallOptions options, Events& events)
     : loop_(loop), client_(client), options_(options), events_(events) {}
 
@@ -75,11 +82,9 @@
         case http::CallOutcome::answered:
             break;
     }
-    if (a.response.status != 200) {
-        const auto after = to_number<Micros>(a.response.headers.find("Retry-After").value_or(""));
+    if (a.response.status != 200)
         return end({How::turned_away, a.response.status, a.response.body.substr(0, 200),
-                    after.value_or(0) * kSecondMicros});
-    }
+                    read_retry_after(a.response.headers)});
     take(a);
 }
 
--- a/src/statement/load_report.cpp
+++ b/src/statement/load_report.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdio>
 
+#include "decide/reported_values.hpp"
+
 namespace gatetiller::statement {
 namespace {
 
@@ -15,18 +17,18 @@
     {"memory_granted", &LoadReport::granted_memory_share},
     {"disks_busy", &LoadReport::busy_disks_share}};
 
+std::optional<double> LoadReport::*report_member(std::string_view name) {
+    for (const auto& [known, member] : kReportParts)
+        if (known == name)
+            return member;
+    return nullptr;
+}
+
 }  // namespace
 
 std::optional<LoadReport> read_report(const http::Headers& headers) {
-    const auto text = headers.find(kLoadHeader);
-    if (!text)
-        return std::nullopt;
-    LoadReport report;
-    for (const auto part : split(*text, ','))
-        for (const auto& [name, member] : kReportParts)
-            if (part.starts_with(name) && part.size() > name.size() && part[name.size()] == '=')
-                report.*member = to_number<double>(part.substr(name.size() + 1));
-    return report;
+    const auto text = headers.find_only(kLoadHeader);
+    return text ? decide::read_load_report(*text, {',', '=', report_member}) : std::nullopt;
 }
 
 std::string write_report(const LoadReport& report) {
--- a/src/statement/load_report.hpp
+++ b/src/statement/load_report.hpp
@@ -11,6 +11,7 @@
 namespace gatetiller::statement {
 
 constexpr std::string_view kLoadHeader = "X-Gatetiller-Load";
+// Returns the valid values, or nothing if there is none or the header occurs twice.
 std::optional<LoadReport> read_report(const http::Headers& headers);
 std::string write_report(const LoadReport& report);
 
--- a/tests/front/invalid_documents_test.cpp
+++ b/tests/front/invalid_documents_test.cpp
@@ -213,5 +213,23 @@
     }));
 }
 
+// Guards against figures of an engine that keep the policy from admitting statements for good, and against an
+// overflow in the time after which a client may retry.
+TEST_F(InvalidDocuments, FiguresOutOfRangeDoNotKeepStatementsFromBeingServed) {
+    engine.documents[2] = ScriptedEngine::document(
+        R"("data":[[2]],)", R"("FINISHED","cpuTimeMillis":9e18,"peakMemoryBytes":-1,"spilledBytes":1e300)");
+    for (const char* report : {"concurrent=inf,depth=nan", "concurrent=1e300", "concurrent=-1e300,depth=-1",
+                               "concurrent=nan", "concurrent=1e5,concurrent=1e5"}) {
+        engine.headers.clear();
+        engine.headers.add("X-Gatetiller-Load", report);
+        for (int i = 0; i < 3; ++i)
+            EXPECT_EQ(run().error(), "") << report;
+    }
+    EXPECT_EQ(engine.statements, 15);
+    ASSERT_EQ(bed.finished.size(), 15u);
+    for (const auto& statement : bed.finished)
+        EXPECT_EQ(statement.cpu_ms, 0);
+}
+
 }  // namespace
 }  // namespace gatetiller::testing
--- a/tests/statement/engine_call_test.cpp
+++ b/tests/statement/engine_call_test.cpp
@@ -6,6 +6,7 @@
 
 #include "http/server.hpp"
 #include "sim/virtual_loop.hpp"
+#include "statement/load_report.hpp"
 
 namespace gatetiller::statement {
 namespace {
@@ -85,5 +86,43 @@
     EXPECT_EQ(posts, 1);
 }
 
+// Guards against an overflow in the conversion of seconds, and against a time that is told twice.
+TEST(RetryAfter, IsZeroUnlessTheHeaderOccursOnceAndIsANumberOfSecondsUpToOneDay) {
+    const auto read = [](std::initializer_list<const char*> values) {
+        http::Headers headers;
+        for (const char* value : values)
+            headers.add("Retry-After", value);
+        return read_retry_after(headers);
+    };
+    EXPECT_EQ(read({"3"}), 3 * kSecondMicros);
+    EXPECT_EQ(read({"86400"}), 86'400 * kSecondMicros);
+    EXPECT_EQ(read({}), 0);
+    EXPECT_EQ(read({"3", "4"}), 0);
+    for (const char* invalid : {"", "soon", "-3", "3.5", "3s", "86401", "9223372036854775807",
+                                "99999999999999999999", "Fri, 04 Dec 2026 06:00:00 GMT"})
+        EXPECT_EQ(read({invalid}), 0) << invalid;
+}
+
+// Guards against a load report out of range, which would stay in the policy's moving averages.
+TEST(LoadReportHeader, HasOnlyValidValues) {
+    const auto read = [](std::initializer_list<const char*> values) {
+        http::Headers headers;
+        for (const char* value : values)
+            headers.add(std::string(kLoadHeader), value);
+        return read_report(headers);
+    };
+    const auto report = read({"concurrent=7, load_share=0.5,memory_granted=1.25,unknown=1"});
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->running_queries, 7);
+    EXPECT_EQ(report->busy_cores_share, 0.5);
+    EXPECT_EQ(report->granted_memory_share, 1.25);
+    EXPECT_FALSE(read({}));
+    EXPECT_FALSE(read({"concurrent=7", "concurrent=7"}));
+    for (const char* invalid : {"", "concurrent", "concurrent=", "concurrent=x", "concurrent=nan",
+                                "concurrent=inf", "concurrent=-1", "concurrent=1e7", "concurrent=1e999",
+                                "concurrent:7", "concurrent=1,concurrent=2", "concurrently=1"})
+        EXPECT_FALSE(read({invalid})) << invalid;
+}
+
 }  // namespace
 }  // namespace gatetiller::statement
