--- a/src/dns/dns.cpp
+++ b/src/dns/dns.cpp
@@ -4,6 +4,8 @@
 #include <arpa/nameser.h>
 #include <resolv.h>
 
+#include <utility>
+
 #include "base/bytes.hpp"
 #include "base/text.hpp"
 
@@ -33,6 +35,132 @@
     return true;
 }
 
+// Reads the records of one message into a Response.
+class ResponseReader {
+public:
+    ResponseReader(ns_msg& message, std::string queried_name)
+        : message_(message), queried_name_(std::move(queried_name)) {}
+
+    bool question_matches() {
+        return for_each_record(message_, ns_s_qd, [&](const ns_rr& record) {
+            return normalized_name(ns_rr_name(record)) == queried_name_ && ns_rr_type(record) == ns_t_srv;
+        });
+    }
+
+    Result<Response> read() {
+        for (const ns_sect section : {ns_s_an, ns_s_ns, ns_s_ar}) {
+            const bool complete = for_each_record(message_, section, [&](const ns_rr& record) {
+                return read_record(record);
+            });
+            if (!complete)
+                return Error{"malformed record"};
+        }
+        if (!has_serial_)
+            return Error{"response without an SOA record"};
+        return std::move(response_);
+    }
+
+private:
+    // The data of a record that is not read yet.
+    struct Data {
+        explicit Data(const ns_rr& record)
+            : at(reinterpret_cast<const unsigned char*>(ns_rr_rdata(record))),
+              end(at + ns_rr_rdlen(record)) {}
+        std::size_t size() const {
+            return static_cast<std::size_t>(end - at);
+        }
+        std::uint16_t read_16() {
+            const auto value = static_cast<std::uint16_t>(ns_get16(at));
+            at += NS_INT16SZ;
+            return value;
+        }
+        const unsigned char* at;
+        const unsigned char* end;
+    };
+
+    bool read_record(const ns_rr& record) {
+        switch (ns_rr_type(record)) {
+            case ns_t_srv:
+                return read_service(record);
+            case ns_t_a:
+                return read_address(record);
+            case ns_t_txt:
+                return read_texts(record);
+            case ns_t_soa:
+                return read_serial(record);
+            default:
+                return true;
+        }
+    }
+
+    bool read_service(const ns_rr& record) {
+        Data data(record);
+        if (data.size() <= 3 * NS_INT16SZ)
+            return false;
+        SrvRecord service;
+        service.priority = data.read_16();
+        service.weight = data.read_16();
+        service.port = data.read_16();
+        if (!read_name(data, service.target) || data.size() > 0)
+            return false;
+        if (normalized_name(ns_rr_name(record)) == queried_name_)
+            response_.srv_records.push_back(std::move(service));
+        return true;
+    }
+
+    bool read_address(const ns_rr& record) {
+        const Data data(record);
+        if (data.size() != NS_INADDRSZ)
+            return false;
+        char text[INET_ADDRSTRLEN];
+        inet_ntop(AF_INET, data.at, text, sizeof text);
+        response_.addresses[normalized_name(ns_rr_name(record))] = text;
+        return true;
+    }
+
+    bool read_texts(const ns_rr& record) {
+        Data data(record);
+        auto& texts = response_.texts[normalized_name(ns_rr_name(record))];
+        while (data.size() > 0) {
+            const std::size_t size = *data.at++;
+            if (size > data.size())
+                return false;
+            texts.emplace_back(reinterpret_cast<const char*>(data.at), size);
+            data.at += size;
+        }
+        return true;
+    }
+
+    bool read_serial(const ns_rr& record) {
+        Data data(record);
+        std::string unused_name;
+        if (!read_name(data, unused_name) || !read_name(data, unused_name))
+            return false;
+        if (data.size() != 5 * NS_INT32SZ)
+            return false;
+        has_serial_ = true;
+        response_.serial = static_cast<std::uint32_t>(ns_get32(data.at));
+        return true;
+    }
+
+    // Reads a name, which may be compressed. Returns false unless it ends within the record's data.
+    bool read_name(Data& data, std::string& result) const {
+        char text[NS_MAXDNAME];
+        const int length =
+            ns_name_uncompress(ns_msg_base(message_), ns_msg_end(message_), data.at, text, sizeof text);
+        if (length < 0 || static_cast<std::size_t>(length) > data.size())
+            return false;
+        result = normalized_name(text);
+        data.at += length;
+        return true;
+    }
+
+    ns_msg& message_;
+    std::string queried_name_;
+    Response response_;
+    bool has_serial_ = false;
+};
+
 }  // namespace
 
 std::string encode_name(std::string_view name) {
@@ -66,86 +194,10 @@
         return Error{"truncated response"};
     if (ns_msg_getflag(message, ns_f_rcode) != ns_r_noerror)
         return Error{"error response with RCODE " + std::to_string(ns_msg_getflag(message, ns_f_rcode))};
-    const auto data = [&](const ns_rr& record) {
-        return reinterpret_cast<const unsigned char*>(ns_rr_rdata(record));
-    };
-    const std::string queried_name = normalized_name(name);
-    const bool question_matches = for_each_record(message, ns_s_qd, [&](const ns_rr& record) {
-        return normalized_name(ns_rr_name(record)) == queried_name && ns_rr_type(record) == ns_t_srv;
-    });
-    if (!question_matches)
+    ResponseReader reader(message, normalized_name(name));
+    if (!reader.question_matches())
         return Error{"response to another question"};
-    Response response;
-    bool has_serial = false;
-    const auto read_name = [&](const unsigned char* position, std::string& result) {
-        char text[NS_MAXDNAME];
-        const int length =
-            ns_name_uncompress(ns_msg_base(message), ns_msg_end(message), position, text, sizeof text);
-        if (length >= 0)
-            result = normalized_name(text);
-        return length;
-    };
-    const auto read_record = [&](const ns_rr& record) {
-        const unsigned char* position = data(record);
-        const unsigned char* const end = position + ns_rr_rdlen(record);
-        switch (ns_rr_type(record)) {
-            case ns_t_srv: {
-                SrvRecord srv;
-                if (ns_rr_rdlen(record) < 7)
-                    return false;
-                srv.priority = static_cast<std::uint16_t>(ns_get16(position));
-                srv.weight = static_cast<std::uint16_t>(ns_get16(position + 2));
-                srv.port = static_cast<std::uint16_t>(ns_get16(position + 4));
-                if (const int length = read_name(position + 6, srv.target);
-                    length < 0 || position + 6 + length != end)
-                    return false;
-                if (normalized_name(ns_rr_name(record)) == queried_name)
-                    response.srv_records.push_back(std::move(srv));
-                return true;
-            }
-            case ns_t_a: {
-                if (ns_rr_rdlen(record) != 4)
-                    return false;
-                char text[INET_ADDRSTRLEN];
-                inet_ntop(AF_INET, position, text, sizeof text);
-                response.addresses[normalized_name(ns_rr_name(record))] = text;
-                return true;
-            }
-            case ns_t_txt: {
-                auto& texts = response.texts[normalized_name(ns_rr_name(record))];
-                while (position < end) {
-                    const std::size_t size = *position++;
-                    if (size > static_cast<std::size_t>(end - position))
-                        return false;
-                    texts.emplace_back(reinterpret_cast<const char*>(position), size);
-                    position += size;
-                }
-                return true;
-            }
-            case ns_t_soa: {
-                std::string unused_name;
-                for (int i = 0; i < 2; ++i) {
-                    const int length = read_name(position, unused_name);
-                    if (length < 0 || length > end - position)
-                        return false;
-                    position += length;
-                }
-                if (end - position != 20)
-                    return false;
-                response.serial = static_cast<std::uint32_t>(ns_get32(position));
-                has_serial = true;
-                return true;
-            }
-            default:
-                return true;
-        }
-    };
-    for (const ns_sect section : {ns_s_an, ns_s_ns, ns_s_ar})
-        if (!for_each_record(message, section, read_record))
-            return Error{"malformed record"};
-    if (!has_serial)
-        return Error{"response without an SOA record"};
-    return response;
+    return reader.read();
 }
 
 }  // namespace gatetiller::dns
