Reject DNS responses with two serials or two addresses of an engine

What may happen: the list counts under the serial of whichever SOA record stands last, also of one outside the authority section, and an engine gets the requests at whichever address stands last. Fix: one SOA record of the authority section, and one address of an owner; other responses are ignored and the poll is repeated.

Two of the three new tests fail before the fix, the third is a guard.

--- a/src/dns/dns.cpp
+++ b/src/dns/dns.cpp
@@ -50,10 +50,10 @@
     Result<Response> read() {
         for (const ns_sect section : {ns_s_an, ns_s_ns, ns_s_ar}) {
             const bool complete = for_each_record(message_, section, [&](const ns_rr& record) {
-                return read_record(record);
+                return read_record(record, section);
             });
             if (!complete)
-                return Error{"malformed record"};
+                return Error{error_};
         }
         if (!has_serial_)
             return Error{"response without an SOA record"};
@@ -78,7 +78,7 @@
         const unsigned char* end;
     };
 
-    bool read_record(const ns_rr& record) {
+    bool read_record(const ns_rr& record, ns_sect section) {
         switch (ns_rr_type(record)) {
             case ns_t_srv:
                 return read_service(record);
@@ -87,7 +87,7 @@
             case ns_t_txt:
                 return read_texts(record);
             case ns_t_soa:
-                return read_serial(record);
+                return section != ns_s_ns || read_serial(record);
             default:
                 return true;
         }
@@ -114,8 +114,12 @@
             return false;
         char text[INET_ADDRSTRLEN];
         inet_ntop(AF_INET, data.at, text, sizeof text);
-        response_.addresses[normalized_name(ns_rr_name(record))] = text;
-        return true;
+        const auto owner = normalized_name(ns_rr_name(record));
+        const auto [known, is_new] = response_.addresses.try_emplace(owner, text);
+        if (is_new || known->second == text)
+            return true;
+        error_ = "two addresses of " + owner;
+        return false;
     }
 
     bool read_texts(const ns_rr& record) {
@@ -138,7 +142,10 @@
             return false;
         if (data.size() != 5 * NS_INT32SZ)
             return false;
-        has_serial_ = true;
+        if (std::exchange(has_serial_, true)) {
+            error_ = "two SOA records";
+            return false;
+        }
         response_.serial = static_cast<std::uint32_t>(ns_get32(data.at));
         return true;
     }
@@ -159,6 +166,7 @@
     std::string queried_name_;
     Response response_;
     bool has_serial_ = false;
+    std::string error_ = "malformed record";
 };
 
 }  // namespace
--- a/src/dns/dns.hpp
+++ b/src/dns/dns.hpp
@@ -23,11 +23,12 @@
 struct Response {
     std::uint32_t serial = 0;  // serial of the SOA record in the authority section
     std::vector<SrvRecord> srv_records;
-    std::map<std::string, std::string> addresses;           // A records by owner name
+    std::map<std::string, std::string> addresses;           // A records by owner name, one address each
     std::map<std::string, std::vector<std::string>> texts;  // TXT records by owner name
 };
 // Parses the response to the query with this id and name. Fails if the message answers another query, is
-// truncated or malformed, reports an error, or lacks the serial; its records are unusable then.
+// truncated or malformed, reports an error, has not exactly one SOA record in the authority section, or has
+// two addresses of one owner; its records are unusable then.
 Result<Response> parse_response(std::string_view message, std::uint16_t id, const std::string& name);
 
 }  // namespace gatetiller::dns
--- a/tests/dns/dns_test.cpp
+++ b/tests/dns/dns_test.cpp
@@ -54,6 +54,86 @@
     return message;
 }
 
+// Records of uncompressed names, by section.
+struct Sections {
+    std::vector<std::string> answers;
+    std::vector<std::string> authority;
+    std::vector<std::string> additional;
+};
+std::string message_of(const Sections& sections) {
+    std::string message;
+    put(message, 77, 2), put(message, 0x8400, 2), put(message, 1, 2);
+    for (const auto* section : {&sections.answers, &sections.authority, &sections.additional})
+        put(message, section->size(), 2);
+    message += labels({"_work", "_tcp", "fleet", "local"});
+    put(message, 33, 2), put(message, 1, 2);
+    for (const auto* section : {&sections.answers, &sections.authority, &sections.additional})
+        for (const auto& each : *section)
+            message += each;
+    return message;
+}
+const std::string kOwner = labels({"_work", "_tcp", "fleet", "local"});
+const std::string kTarget = labels({"s-1", "east", "hosts"});
+std::string soa_record(std::uint32_t serial) {
+    std::string data = labels({"ns"}) + labels({"admin"});
+    put(data, serial, 4);
+    for (int i = 0; i < 4; ++i)
+        put(data, 1, 4);
+    return record(kOwner, 6, data);
+}
+std::string srv_record(const std::string& target) {
+    std::string data;
+    put(data, 0, 2), put(data, 10, 2), put(data, 5050, 2);
+    return record(kOwner, 33, data + target);
+}
+std::string a_record(std::string_view address) {
+    return record(kTarget, 1, std::string(address));
+}
+
+// Guards against a serial or an address that depends on the order of contradicting records.
+TEST(Dns, RejectsRepeatedRecordsThatMustOccurOnce) {
+    const std::string one("\x0a\x01\x00\x09", 4);
+    const std::string other("\x0a\x01\x00\x08", 4);
+    const auto parse = [](const Sections& sections) {
+        return parse_response(message_of(sections), 77, kName);
+    };
+    const auto valid = parse({{srv_record(kTarget)}, {soa_record(41)}, {a_record(one), a_record(one)}});
+    ASSERT_TRUE(valid) << valid.error();
+    EXPECT_EQ(valid->serial, 41u);
+    EXPECT_EQ(valid->addresses.at("s-1.east.hosts"), "10.1.0.9");
+    EXPECT_FALSE(parse({{srv_record(kTarget)}, {soa_record(41)}, {a_record(one), a_record(other)}}));
+    EXPECT_FALSE(parse({{srv_record(kTarget)}, {soa_record(41), soa_record(42)}, {a_record(one)}}));
+    EXPECT_FALSE(parse({{srv_record(kTarget)}, {soa_record(41), soa_record(41)}, {a_record(one)}}));
+    EXPECT_FALSE(parse({{srv_record(kTarget)}, {}, {a_record(one)}}));
+}
+
+// Guards against the serial of an SOA record outside the authority section, which is not that of the list.
+TEST(Dns, ReadsTheSerialOfTheAuthoritySectionOnly) {
+    const auto parse = [](const Sections& sections) {
+        return parse_response(message_of(sections), 77, kName);
+    };
+    const auto response = parse({{soa_record(7)}, {soa_record(41)}, {soa_record(9)}});
+    ASSERT_TRUE(response) << response.error();
+    EXPECT_EQ(response->serial, 41u);
+    EXPECT_FALSE(parse({{soa_record(7)}, {}, {soa_record(9)}}));
+}
+
+TEST(Dns, RejectsRecordsOfAWrongLength) {
+    const auto parse = [](const std::string& answer, const std::string& authority,
+                          const std::string& additional) {
+        return parse_response(message_of({{answer}, {authority}, {additional}}), 77, kName);
+    };
+    const std::string address = a_record(std::string("\x0a\x01\x00\x09", 4));
+    EXPECT_TRUE(parse(srv_record(kTarget), soa_record(41), address));
+    EXPECT_FALSE(parse(srv_record(kTarget + "x"), soa_record(41), address));
+    EXPECT_FALSE(parse(record(kOwner, 33, std::string(6, '\0')), soa_record(41), address));
+    EXPECT_FALSE(
+        parse(srv_record(kTarget), record(kOwner, 6, labels({"ns"}) + labels({"a"}) + "1234"), address));
+    EXPECT_FALSE(parse(srv_record(kTarget), soa_record(41), a_record("\x0a\x01")));
+    EXPECT_FALSE(parse(srv_record(kTarget), soa_record(41), a_record("12345")));
+    EXPECT_FALSE(parse(srv_record(kTarget), soa_record(41), record(kTarget, 16, "\x09short")));
+}
+
 TEST(Dns, ParsesResponseWithCompressedNames) {
     const auto response = parse_response(response_message(77), 77, kName);
     ASSERT_TRUE(response) << response.error();
