Ignore an endpoint list in which a cell or a start is unreadable or lost

What may happen: an engine in slow start counts as old, and one of a cell as of cell 0, so that it gets more than it can do, or a keyed request again that it does not know. Cause: an unreadable or missing 'started' or 'cell' of a TXT record was read as 0. Fix: a list is used completely or not at all; attributes that are unreadable, out of range, given twice or lost from some of the endpoints make it unusable until the next poll. The reading moves from dns_endpoint_source to a file of its own.

--- a/src/discovery/dns_endpoint_source.cpp
+++ b/src/discovery/dns_endpoint_source.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "base/bytes.hpp"
-#include "base/text.hpp"
+#include "discovery/dns_endpoints.hpp"
 #include "dns/dns.hpp"
 
 namespace gatetiller::discovery {
@@ -11,60 +11,8 @@
 
 constexpr std::size_t kIdBytes = 2;  // message id at the start of the header
 constexpr std::size_t kMaxOpenPorts = 4;
-constexpr double kSrvWeightPerShare = 10;
 constexpr Micros kInjectedBackoffFactor = 6;  // multiple of `backoff_poll_interval`
 
-// Applies a "key=value" string of a TXT record; unknown keys are ignored.
-void apply_txt_string(decide::DiscoveredEndpoint& endpoint, std::string_view text) {
-    const std::size_t equals = text.find('=');
-    if (equals == std::string_view::npos)
-        return;
-    const std::string_view key = text.substr(0, equals);
-    const std::string_view value = text.substr(equals + 1);
-    if (key == "kind")
-        endpoint.kind = value;
-    else if (key == "cell")
-        endpoint.cell = to_number<std::int64_t>(value).value_or(0);
-    else if (key == "started")
-        endpoint.started_at = to_number<std::int64_t>(value).value_or(0) * kMillisecond;
-}
-
-// Returns the endpoint of an SRV record, whose target is "name.zone.domain".
-Result<decide::DiscoveredEndpoint> endpoint_of(const dns::SrvRecord& record, const dns::Response& response) {
-    decide::DiscoveredEndpoint endpoint;
-    const std::string& target = record.target;
-    const std::size_t name_end = target.find('.');
-    if (name_end == std::string::npos)
-        return Error{"SRV target without a zone: " + target};
-    const std::size_t zone_end = target.find('.', name_end + 1);
-    endpoint.name = target.substr(0, name_end);
-    endpoint.zone = target.substr(
-        name_end + 1, zone_end == std::string::npos ? std::string::npos : zone_end - name_end - 1);
-    const auto address = response.addresses.find(target);
-    if (address == response.addresses.end())
-        return Error{"no A record for SRV target " + target};
-    endpoint.address = address->second + ":" + std::to_string(record.port);
-    endpoint.state = record.priority == 0 ? EndpointState::ready : EndpointState::draining;
-    endpoint.share = record.weight / kSrvWeightPerShare;
-    const auto texts = response.texts.find(target);
-    if (texts != response.texts.end())
-        for (const std::string_view text : texts->second)
-            apply_txt_string(endpoint, text);
-    return endpoint;
-}
-
-// Fails if a record lacks its zone or its address.
-Result<std::vector<decide::DiscoveredEndpoint>> endpoints_of(const dns::Response& response) {
-    std::vector<decide::DiscoveredEndpoint> endpoints;
-    for (const auto& record : response.srv_records) {
-        auto endpoint = endpoint_of(record, response);
-        if (!endpoint)
-            return endpoint.failure();
-        endpoints.push_back(std::move(*endpoint));
-    }
-    return endpoints;
-}
-
 }  // namespace
 
 DnsEndpointSource::DnsEndpointSource(net::Loop& loop, std::string service_name, std::uint64_t seed,
@@ -219,7 +167,7 @@
         events_.on_bad_response(response.error());
         return std::nullopt;
     }
-    auto endpoints = endpoints_of(*response);
+    auto endpoints = read_endpoints(*response);
     if (!endpoints) {
         events_.on_bad_response(endpoints.error());
         return std::nullopt;
--- a/src/lab/platform.cpp
+++ b/src/lab/platform.cpp
@@ -435,8 +435,10 @@
             append_big_endian(address, to_number<std::uint64_t>(part).value_or(0), 1);
         around += record_of(target, 1, address);
         std::string text;
-        for (const std::string& t : {"kind=" + e.kind, "cell=" + std::to_string(e.cell),
-                                     "started=" + std::to_string(e.started_ms)}) {
+        for (std::string t : {"kind=" + e.kind, "cell=" + std::to_string(e.cell),
+                              "started=" + std::to_string(e.started_ms)}) {
+            if (alter_text)
+                t = alter_text(name, std::move(t));
             append_big_endian(text, t.size(), 1);
             text += t;
         }
--- a/src/lab/platform.hpp
+++ b/src/lab/platform.hpp
@@ -139,6 +139,8 @@
     std::uint64_t questions() const {
         return questions_;
     }
+    // Returns the TXT string to send in place of `text` in the record of the engine `name`. May be absent.
+    std::function<std::string(const std::string& name, std::string text)> alter_text;
     std::string known(const std::string& front) const;   // the configuration's member of that name, as JSON
     std::string states(const std::string& front) const;  // "name=on,name=fading", as records have them
 
--- a/tests/node/discovery_test.cpp
+++ b/tests/node/discovery_test.cpp
@@ -32,6 +32,26 @@
     }
 }
 
+// Guards against an engine in slow start being sent as much as an old one because its start cannot be read.
+TEST_F(DiscoveryTest, ListWithAnUnreadableStartIsIgnoredUntilItCanBeRead) {
+    add_engine("s-1");
+    start();
+    bool readable = false;
+    name_service.alter_text = [&](const std::string& name, std::string text) {
+        return name == "s-new" && text.starts_with("started=") && !readable ? "started=1x64806400000" : text;
+    };
+    lab::NameService::Entry entry{"s-new", "z", "std", {{"n0", listen_address("127.1.9.1:5050")}}};
+    entry.started_ms = loop.wall() / kMillisecond;
+    name_service.put(entry);
+    advance_time(3 * kSecondMicros);
+    EXPECT_EQ(node->status().find("s-new"), std::string::npos) << node->status();
+    EXPECT_EQ(node->status().find(" bad_lists=0"), std::string::npos) << node->status();
+    EXPECT_NE(log.find("s-new.z.hosts has a start that is not a time"), std::string::npos) << log;
+    readable = true;
+    EXPECT_TRUE(receives_endpoint("s-new", kSecondMicros)) << node->status();
+    EXPECT_NE(log.find("engine s-new is ready, up for"), std::string::npos) << log;
+}
+
 TEST_F(DiscoveryTest, PollsSlowServiceLessOften) {
     add_engine("s-1");
     start();
