Keep what earlier events of the configured list told of an endpoint

What may happen: a later event of 'known' that lacks 'cell', 'startedAtMs' or 'lifecycle' moved the engine to cell 0, made it old or ready; a fraction was cut off, and a start out of range overflowed. Fix: the members that an event lacks keep their values; numbers must be whole and in range, and errors name the member.

MembersThatALaterEventLacksKeepTheirValues and ErrorsNameTheInvalidMember (19 more values) fail before the fix.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -16,7 +17,8 @@
 using Json = nlohmann::json;
 
 constexpr Micros kDefaultConnectTimeout = 250 * kMillisecond;
-constexpr double kMaxNumber = 1e15;  // doubles hold integers below it exactly
+constexpr std::int64_t kMaxStartMs = 253'402'300'799'999;  // the end of the year 9999
+constexpr double kMaxNumber = 1e15;                        // doubles hold integers below it exactly
 
 struct ConfigError : std::runtime_error {
     using std::runtime_error::runtime_error;
@@ -63,37 +65,76 @@
     throw ConfigError("lifecycle must be active, leaving or left, not " + lifecycle);
 }
 
-decide::DiscoveredEndpoint parse_endpoint(const Json& json) {
-    decide::DiscoveredEndpoint endpoint;
-    endpoint.name = value<std::string>(json, "instanceId", "text");
-    for (char& letter : endpoint.name)
+// Reads a whole number; `otherwise` if the member is missing.
+std::int64_t whole_number(const Json& object, const char* name, std::int64_t otherwise, std::int64_t least,
+                          std::int64_t most) {
+    if (!object.contains(name))
+        return otherwise;
+    const Json& number = object.at(name);
+    const bool is_too_large =
+        number.is_number_unsigned() && number.get<std::uint64_t>() > static_cast<std::uint64_t>(most);
+    const bool is_valid = number.is_number_integer() && !is_too_large &&
+                          number.get<std::int64_t>() >= least && number.get<std::int64_t>() <= most;
+    if (!is_valid)
+        throw ConfigError(std::string(name) + " must be a whole number from " + std::to_string(least) +
+                          " to " + std::to_string(most) + ", not " + number.dump());
+    return number.get<std::int64_t>();
+}
+
+std::string parse_name(const Json& json) {
+    auto name = value<std::string>(json, "instanceId", "text");
+    for (char& letter : name)
         letter = to_ascii_lower(letter);
+    return name;
+}
+
+// Applies what an event tells of an endpoint; the members that it lacks keep their values.
+void apply_event(const Json& json, decide::DiscoveredEndpoint& endpoint) {
+    const auto text = [&](const char* name, const std::string& otherwise) {
+        return json.contains(name) ? value<std::string>(json, name, "text") : otherwise;
+    };
     endpoint.address = address(json, "hostPort").text();
-    endpoint.zone = json.value("zone", "");
-    endpoint.kind = json.value("machineType", "");
-    endpoint.cell = json.value("cell", std::int64_t{0});
-    endpoint.share = json.value("weight", 1.0);
-    endpoint.started_at = json.value("startedAtMs", std::int64_t{0}) * kMillisecond;
-    endpoint.state = parse_state(json.value("lifecycle", std::string("active")));
-    return endpoint;
+    endpoint.zone = text("zone", endpoint.zone);
+    endpoint.kind = text("machineType", endpoint.kind);
+    endpoint.cell = whole_number(json, "cell", endpoint.cell, std::numeric_limits<std::int64_t>::min(),
+                                 std::numeric_limits<std::int64_t>::max());
+    if (json.contains("weight"))
+        endpoint.share = value<double>(json, "weight", "a number");
+    const auto start_ms =
+        whole_number(json, "startedAtMs", endpoint.started_at / kMillisecond, 0, kMaxStartMs);
+    endpoint.started_at = start_ms * kMillisecond;
+    if (json.contains("lifecycle"))
+        endpoint.state = parse_state(value<std::string>(json, "lifecycle", "text"));
+}
+
+// Adds, changes or removes one endpoint of the list.
+void read_instance(const Json& json, std::vector<decide::DiscoveredEndpoint>& list) {
+    decide::DiscoveredEndpoint endpoint;
+    endpoint.name = parse_name(json);
+    const auto known = std::find_if(list.begin(), list.end(), [&](const auto& listed) {
+        return listed.name == endpoint.name;
+    });
+    if (known != list.end()) {
+        endpoint = std::move(*known);
+        list.erase(known);
+    }
+    apply_event(json, endpoint);
+    if (endpoint.state != EndpointState::removed)
+        list.push_back(std::move(endpoint));
 }
 
 // Merges the configured events into one list: the first holds the complete list (`reset`), later ones hold
 // changes to it.
 void read_known_endpoints(const Json& known, NodeSettings& settings) {
-    settings.known_serial = positive<std::uint64_t>(known, "offset");
+    (void)member(known, "offset");
+    settings.known_serial = static_cast<std::uint64_t>(
+        whole_number(known, "offset", 0, 1, static_cast<std::int64_t>(kMaxNumber)));
     for (const Json& event : member(known, "batch")) {
         const Json& topology = member(event, "topology");
         if (topology.value("reset", false))
             settings.known_endpoints.clear();
-        for (const Json& instance : member(topology, "instances")) {
-            auto endpoint = parse_endpoint(instance);
-            std::erase_if(settings.known_endpoints, [&](const auto& known_endpoint) {
-                return known_endpoint.name == endpoint.name;
-            });
-            if (endpoint.state != EndpointState::removed)
-                settings.known_endpoints.push_back(std::move(endpoint));
-        }
+        for (const Json& instance : member(topology, "instances"))
+            read_instance(instance, settings.known_endpoints);
     }
 }
 
--- a/tests/node/config_test.cpp
+++ b/tests/node/config_test.cpp
@@ -51,6 +51,25 @@
         {"/limits/memory_mb", "much"},
         {"/limits/cores", -1},
         {"/known/offset", nullptr},
+        {"/known/offset", 0},
+        {"/known/offset", -3},
+        {"/known/offset", 3.5},
+        {"/known/offset", "3"},
+        {"/known/batch/0/topology/instances/0/instanceId", 7},
+        {"/known/batch/0/topology/instances/0/hostPort", "127.1.0.1:99999"},
+        {"/known/batch/0/topology/instances/0/zone", 1},
+        {"/known/batch/0/topology/instances/0/machineType", true},
+        {"/known/batch/0/topology/instances/0/cell", "2"},
+        {"/known/batch/0/topology/instances/0/cell", 2.5},
+        {"/known/batch/0/topology/instances/0/cell", nullptr},
+        {"/known/batch/0/topology/instances/0/cell", 9223372036854775808ULL},
+        {"/known/batch/0/topology/instances/0/weight", "x"},
+        {"/known/batch/0/topology/instances/0/startedAtMs", "now"},
+        {"/known/batch/0/topology/instances/0/startedAtMs", -1},
+        {"/known/batch/0/topology/instances/0/startedAtMs", 1e300},
+        {"/known/batch/0/topology/instances/0/startedAtMs", 18446744073709551615ULL},
+        {"/known/batch/0/topology/instances/0/startedAtMs", 9223372036854775807LL},
+        {"/known/batch/0/topology/instances/0/lifecycle", 1},
         {"/known/batch/0/topology/instances/0/lifecycle", "ill"},
         {"/settings/classes", nlohmann::json::array()},
         {"/settings/classes/0/effect", "maybe"}};
@@ -66,5 +85,28 @@
     EXPECT_FALSE(load_config("/nowhere/config.json"));
 }
 
+// Guards against a later event that lacks a member resetting it: an engine moved to cell 0, where a keyed
+// request may be repeated, or became old, or ready.
+TEST(NodeConfig, MembersThatALaterEventLacksKeepTheirValues) {
+    auto json = valid_config();
+    auto& instances = json["known"]["batch"][0]["topology"]["instances"];
+    instances[0]["startedAtMs"] = 1'764'806'400'000;
+    instances[0]["lifecycle"] = "leaving";
+    json["known"]["batch"][1]["topology"]["instances"] = {
+        {{"instanceId", "s-1"}, {"hostPort", "127.1.0.9:5050"}}};
+    const auto settings = read_config(json.dump());
+    ASSERT_TRUE(settings) << settings.error();
+    ASSERT_EQ(settings->known_endpoints.size(), 2u);
+    const auto& endpoint = settings->known_endpoints[1];
+    EXPECT_EQ(endpoint.name, "s-1");
+    EXPECT_EQ(endpoint.address, "127.1.0.9:5050");
+    EXPECT_EQ(endpoint.zone, "z");
+    EXPECT_EQ(endpoint.kind, "std");
+    EXPECT_EQ(endpoint.cell, 2);
+    EXPECT_EQ(endpoint.share, 4);
+    EXPECT_EQ(endpoint.started_at, 1'764'806'400 * kSecondMicros);
+    EXPECT_EQ(endpoint.state, EndpointState::draining);
+}
+
 }  // namespace
 }  // namespace gatetiller::node
