Reject engine lists, configurations and accounts with a member given twice

What may happen: of two values of one member the last counts, so that an engine that drains is ready, or a query's cost is the other one. Fix: UniqueMembers finds repeated members while the text is parsed; such a list, file or account is rejected with the member's name, as one that is not JSON.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -8,8 +8,10 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <sstream>
 
+#include "base/unique_members.hpp"
 #include "config/reader.hpp"
 
 namespace gatetiller::config {
@@ -460,9 +462,12 @@
 Result<std::vector<EngineSettings>> read_engine_list(const std::string& text, const std::string& origin) {
     Mistakes mistakes(origin, text);
     std::vector<EngineSettings> engines;
-    const Json json = Json::parse(text, nullptr, false);
+    UniqueMembers members;
+    const Json json = Json::parse(text, std::ref(members), false);
     if (json.is_discarded())
         return Error{origin + ": not JSON"};
+    if (members.repeated())
+        return Error{origin + ": '" + *members.repeated() + "' occurs twice"};
     Reader top(json, {}, mistakes);
     top.required({"engines"});
     top.each("engines", [&](const std::string& name, Reader& r) {
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <functional>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
 #include "base/text.hpp"
+#include "base/unique_members.hpp"
 #include "config/settings.hpp"
 #include "platform/settings.hpp"
 
@@ -180,7 +182,11 @@
 
 Result<NodeSettings> read_config(const std::string& text) {
     try {
-        return parse(Json::parse(text));
+        UniqueMembers members;
+        const Json json = Json::parse(text, std::ref(members));
+        if (members.repeated())
+            throw ConfigError(*members.repeated() + " occurs twice");
+        return parse(json);
     } catch (const Json::parse_error& error) {
         return Error{std::string("configuration: ") + error.what(), EAGAIN};
     } catch (const std::exception& error) {
--- a/src/statement/completed.cpp
+++ b/src/statement/completed.cpp
@@ -2,9 +2,11 @@
 
 #include <cmath>
 #include <cstdio>
+#include <functional>
 #include <nlohmann/json.hpp>
 
 #include "base/text.hpp"
+#include "base/unique_members.hpp"
 
 namespace gatetiller::statement {
 namespace {
@@ -112,9 +114,12 @@
 }
 
 Result<Completed> read_completed(std::string_view text) {
-    const Json j = Json::parse(text.begin(), text.end(), nullptr, false);
+    UniqueMembers members;
+    const Json j = Json::parse(text.begin(), text.end(), std::ref(members), false);
     if (!j.is_object())
         return Error{"not a JSON object"};
+    if (members.repeated())
+        return Error{"member '" + *members.repeated() + "' occurs twice"};
     Completed c;
     std::string wrong;
     static const Json kNone = Json::object();
--- a/tests/discovery/discovery_test.cpp
+++ b/tests/discovery/discovery_test.cpp
@@ -129,6 +129,23 @@
     EXPECT_EQ(last_list.size(), 2u);
 }
 
+// Guards against a list in which an engine is named twice, or whose values have another type or range.
+TEST(EngineList, IsRejectedUnlessEachMemberOccursOnceAndHasItsType) {
+    const auto list_with = [](const std::string& members) {
+        return config::read_engine_list("{\"engines\":{\"a\":{\"address\":\"127.0.0.1:1\"" + members + "}}}",
+                                        "l");
+    };
+    ASSERT_TRUE(list_with(R"(,"state":"on","cell":2,"share":0.5,"zone":"z","kind":"std")"));
+    for (const char* invalid :
+         {R"(,"state":"onn")", R"(,"state":1)", R"(,"state":"on","state":"fading")", R"(,"cell":"2")",
+          R"(,"cell":2.5)", R"(,"share":"half")", R"(,"share":-1)", R"(,"zone":3)", R"(,"kind":[])",
+          R"(,"stat":"on")", R"(},"a":{"address":"127.0.0.1:2")"})
+        EXPECT_FALSE(list_with(invalid)) << invalid;
+    EXPECT_FALSE(config::read_engine_list(R"({"engines":{"a":{"state":"on"}}})", "l")) << "no address";
+    EXPECT_FALSE(config::read_engine_list(R"({"engines":7})", "l"));
+    EXPECT_FALSE(config::read_engine_list("{}", "l"));
+}
+
 TEST(EndpointCache, LoadsSavedListAndRejectsTruncatedFile) {
     const std::string file = ::testing::TempDir() + "last-" + std::to_string(::getpid()) + ".json";
     EXPECT_FALSE(load_cached_endpoints(file));
--- a/tests/node/config_test.cpp
+++ b/tests/node/config_test.cpp
@@ -108,5 +108,15 @@
     EXPECT_EQ(endpoint.state, EndpointState::draining);
 }
 
+// Guards against a member of which either value counts.
+TEST(NodeConfig, RejectsRepeatedMembers) {
+    std::string text = valid_config().dump();
+    const std::string member = "\"lifecycle\":\"leaving\"";
+    text.insert(text.find(member), "\"lifecycle\":\"active\",");
+    const auto settings = read_config(text);
+    ASSERT_FALSE(settings);
+    EXPECT_NE(settings.error().find("lifecycle occurs twice"), std::string::npos) << settings.error();
+}
+
 }  // namespace
 }  // namespace gatetiller::node
--- a/tests/statement/statement_test.cpp
+++ b/tests/statement/statement_test.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/random.hpp"
+#include "statement/completed.hpp"
 #include "statement/context.hpp"
 #include "statement/document.hpp"
 #include "statement/json.hpp"
@@ -205,5 +206,31 @@
     EXPECT_NE(read_context(none).error().find("CPU_TIME"), std::string::npos);
 }
 
+// Guards against an account of a query in which a member counts although it cannot be read or is given twice.
+TEST(Completed, IsRejectedUnlessEachMemberOccursOnceAndCanBeRead) {
+    const auto with = [](const std::string& statistics, const std::string& rest = "") {
+        return read_completed(R"({"metadata":{"queryId":"q"},"statistics":{)" + statistics +
+                              R"(},"createTime":1.5,"endTime":2.5)" + rest + "}");
+    };
+    const auto valid = with(R"("cpuTime":1.5,"wallTime":"PT2S","peakUserMemoryBytes":7,"spilledBytes":null)");
+    ASSERT_TRUE(valid) << valid.error();
+    EXPECT_EQ(valid->cpu, 1'500'000);
+    EXPECT_EQ(valid->peak_memory_bytes, 7);
+    for (const char* invalid :
+         {R"("cpuTime":"soon")", R"("cpuTime":-1)", R"("cpuTime":1e9)", R"("cpuTime":"PT-1S")",
+          R"("cpuTime":"PT1e9S")", R"("cpuTime":true)", R"("cpuTime":1,"cpuTime":2)", R"("spilledBytes":1.5)",
+          R"("spilledBytes":-1)", R"("spilledBytes":"1")", R"("spilledBytes":18446744073709551615)"})
+        EXPECT_FALSE(with(invalid)) << invalid;
+    for (const char* invalid : {R"(,"createTime":3)", R"(,"context":7)", R"(,"context":{"user":7})",
+                                R"(,"context":{"clientTags":"a"})", R"(,"context":{"clientTags":[1]})",
+                                R"(,"metadata":{"queryId":"p"})"})
+        EXPECT_FALSE(with("", invalid)) << invalid;
+    EXPECT_FALSE(read_completed(R"({"metadata":{"queryId":"q"},"createTime":1})")) << "no endTime";
+    EXPECT_FALSE(read_completed(R"({"metadata":{"queryId":"q"},"createTime":1,"endTime":1e12})"));
+    EXPECT_FALSE(
+        read_completed(R"({"metadata":{"queryId":"q"},"createTime":1,"endTime":"2026-13-01T00:00:00Z"})"));
+    EXPECT_FALSE(read_completed(R"({"metadata":{},"createTime":1,"endTime":2})")) << "no id";
+}
+
 }  // namespace
 }  // namespace gatetiller::statement
