Reject Thrift calls that give an argument twice

What may happen: of two statements or two sets of fields in one call the last is executed. Fix: a field id that occurs twice in a call's arguments makes the call malformed, as a repeated key of its map does. An argument of another type is left out as before, and the request is rejected for what it lacks.

--- a/src/thrift/service.cpp
+++ b/src/thrift/service.cpp
@@ -1,10 +1,14 @@
 #include "thrift/service.hpp"
 
+#include <set>
+
 namespace gatetiller::thrift {
 namespace {
 
 constexpr std::uint32_t kVersionMask = 0xffffff00, kVersion = 0x80010000;
 constexpr std::size_t kMaxFields = 64, kMaxMethodSize = 64;
+constexpr std::int16_t kFieldsId = 1, kBodyId = 2;  // arguments of process
+constexpr std::int16_t kGivenUpId = 1;              // argument of giveUp
 
 std::string declared_exception(std::int32_t seq, std::int16_t id, const Fields& fields) {
     Writer w(MessageType::reply, "process", seq);
@@ -33,14 +37,17 @@
                 : call.method == "giveUp" ? Call::What::give_up
                 : call.method == "probe"  ? Call::What::probe
                                           : Call::What::unknown;
-    std::int16_t id = 0;
+    std::set<std::int16_t> ids;
     bool has_number = false;
+    std::int16_t id = 0;
     for (Type t = r.field(id); r.ok() && t != Type::stop; t = r.field(id)) {
-        if (call.what == Call::What::process && id == 1 && t == Type::map)
+        if (!ids.insert(id).second)
+            return Error{"an argument of " + call.method + " twice"};
+        if (call.what == Call::What::process && id == kFieldsId && t == Type::map)
             call.fields = r.fields(kMaxFields);
-        else if (call.what == Call::What::process && id == 2 && t == Type::string)
+        else if (call.what == Call::What::process && id == kBodyId && t == Type::string)
             call.body = r.string();
-        else if (call.what == Call::What::give_up && id == 1 && t == Type::i32)
+        else if (call.what == Call::What::give_up && id == kGivenUpId && t == Type::i32)
             call.given_up = r.i32(), has_number = true;
         else
             r.skip(t);
--- a/tests/thrift/thrift_test.cpp
+++ b/tests/thrift/thrift_test.cpp
@@ -1,6 +1,8 @@
 // Tests of the Thrift protocol: complete messages are read as written, all others are rejected safely.
 #include <gtest/gtest.h>
 
+#include <functional>
+
 #include "base/random.hpp"
 #include "thrift/service.hpp"
 
@@ -96,6 +98,53 @@
     EXPECT_FALSE(read_call(payload(nested)));
 }
 
+// Guards against executing one of two statements, or with one of two sets of fields, that a call holds.
+TEST(Thrift, RejectsRepeatedArgumentsAndLeavesOutThoseOfAnotherType) {
+    const auto call_of = [](const char* method, const std::function<void(Writer&)>& write_arguments) {
+        Writer writer(MessageType::call, method, 1);
+        write_arguments(writer);
+        writer.stop();
+        return read_call(payload(writer.frame()));
+    };
+    const auto write_fields = [](Writer& writer, const Fields& fields) {
+        writer.field(Type::map, 1);
+        writer.fields(fields);
+    };
+    const auto write_body = [](Writer& writer, const char* body) {
+        writer.field(Type::string, 2);
+        writer.string(body);
+    };
+    EXPECT_FALSE(call_of("process", [&](Writer& writer) {
+        write_fields(writer, {{"route", "a"}});
+        write_fields(writer, {{"route", "b"}});
+        write_body(writer, "SELECT 1");
+    }));
+    EXPECT_FALSE(call_of("process", [&](Writer& writer) {
+        write_fields(writer, {{"route", "a"}});
+        write_body(writer, "SELECT 1");
+        write_body(writer, "SELECT 2");
+    }));
+    EXPECT_FALSE(call_of("giveUp", [](Writer& writer) {
+        for (const std::int32_t sequence : {5, 6}) {
+            writer.field(Type::i32, 1);
+            writer.i32(sequence);
+        }
+    }));
+    EXPECT_FALSE(call_of("giveUp", [](Writer& writer) {
+        writer.field(Type::string, 1);
+        writer.string("5");
+    }));
+    const auto call = call_of("process", [](Writer& writer) {
+        writer.field(Type::string, 1);
+        writer.string("route=a");
+        writer.field(Type::i32, 2);
+        writer.i32(7);
+    });
+    ASSERT_TRUE(call) << call.error();
+    EXPECT_TRUE(call->fields.empty());  // the check of the request rejects it
+    EXPECT_TRUE(call->body.empty());
+}
+
 TEST(Thrift, ReadsOrRejectsCorruptBytes) {
     const std::string frame = process_call(1, {{"route", "x"}, {"patience", "10"}}, "SELECT 1 FROM a_1.b");
     for (std::uint64_t seed = 1; seed <= 20'000; ++seed) {
