Reject statements with repeated identity headers or estimates out of range

What may happen: of two X-Trino-User headers the first counts here and perhaps the other at a proxy before; an estimate of 285 years reaches the policy's moving averages. Fix: headers of which a client sends one are rejected with 400 where they occur twice, and estimates have an upper limit (10^8 s, 10^15 bytes).

--- a/src/statement/context.cpp
+++ b/src/statement/context.cpp
@@ -13,6 +13,12 @@
     "Added-Prepare",       "Deallocated-Prepare", "Started-Transaction-Id",
     "Clear-Transaction-Id"};
 
+// Headers of which a client sends one.
+constexpr const char* kSingleHeaders[] = {"User", "Source", "Catalog", "Schema", "Trace-Token"};
+// Limits of estimates, beyond any query.
+constexpr Micros kMaxTimeEstimate = 100'000'000 * kSecondMicros;
+constexpr double kMaxMemoryEstimate = 1e15;  // bytes
+
 bool in_family(std::string_view name, std::string_view family) {
     return name.size() > family.size() && equals_ignore_case(name.substr(0, family.size()), family);
 }
@@ -89,18 +95,25 @@
         c.session[std::move(name)] = url_decoded(value);
     });
     std::string wrong;
+    for (const char* name : kSingleHeaders)
+        if (headers.count(c.prefix + name) > 1)
+            wrong = "the header " + c.prefix + name + " occurs twice";
     each_pair(headers, c.prefix + "Resource-Estimate",
               [&](const std::string& name, const std::string& value) {
                   if (name == "CPU_TIME" || name == "EXECUTION_TIME") {
                       const auto span = parse_duration(value);
                       if (!span)
                           wrong = name + ": " + span.error();
+                      else if (*span > kMaxTimeEstimate)
+                          wrong = name + ": '" + value + "' is too long";
                       else if (name == "CPU_TIME" || c.cpu_estimate == 0)
                           c.cpu_estimate = *span;
                   } else if (name == "PEAK_MEMORY") {
                       const auto size = parse_bytes(value);
                       if (!size)
                           wrong = name + ": " + size.error();
+                      else if (*size > kMaxMemoryEstimate)
+                          wrong = name + ": '" + value + "' is too large";
                       else
                           c.memory_estimate = *size;
                   }
--- a/tests/statement/statement_test.cpp
+++ b/tests/statement/statement_test.cpp
@@ -206,6 +206,33 @@
     EXPECT_NE(read_context(none).error().find("CPU_TIME"), std::string::npos);
 }
 
+// Guards against one of two users or tokens counting, and against estimates out of range reaching the
+// policy's moving averages.
+TEST(Context, IsRejectedWithRepeatedHeadersOrEstimatesOutOfRange) {
+    const auto error_with = [](std::initializer_list<std::pair<const char*, const char*>> more) {
+        http::Headers headers;
+        headers.add("X-Trino-User", "u");
+        headers.add("X-Trino-Trace-Token", "t");
+        for (const auto& [name, value] : more)
+            headers.add(name, value);
+        const auto context = read_context(headers);
+        return context ? std::string("none") : context.error();
+    };
+    EXPECT_EQ(error_with({{"X-Trino-Resource-Estimate", "CPU_TIME=1d,PEAK_MEMORY=9TB"}}), "none");
+    EXPECT_NE(error_with({{"X-Trino-User", "v"}}).find("User occurs twice"), std::string::npos);
+    EXPECT_NE(error_with({{"x-trino-trace-token", "t"}}).find("Trace-Token occurs twice"), std::string::npos);
+    EXPECT_NE(error_with({{"X-Trino-Source", "a"}, {"X-Trino-Source", "a"}}), "none");
+    EXPECT_NE(error_with({{"X-Trino-Catalog", "a"}, {"X-Trino-Catalog", "b"}}), "none");
+    EXPECT_NE(error_with({{"X-Trino-Schema", "a"}, {"X-Trino-Schema", "b"}}), "none");
+    for (const char* invalid : {"CPU_TIME=", "CPU_TIME=5", "CPU_TIME=-5s", "CPU_TIME=nan", "CPU_TIME=1e3s",
+                                "CPU_TIME=100000001s", "EXECUTION_TIME=9000000000000s", "PEAK_MEMORY=1",
+                                "PEAK_MEMORY=-1MB", "PEAK_MEMORY=infMB", "PEAK_MEMORY=99999999TB"})
+        EXPECT_NE(error_with({{"X-Trino-Resource-Estimate", invalid}}), "none") << invalid;
+    for (const char* invalid :
+         {"query_max_run_time=soon", "query_max_execution_time=5", "query_max_run_time=-1s"})
+        EXPECT_NE(error_with({{"X-Trino-Session", invalid}}), "none") << invalid;
+}
+
 // Guards against an account of a query in which a member counts although it cannot be read or is given twice.
 TEST(Completed, IsRejectedUnlessEachMemberOccursOnceAndCanBeRead) {
     const auto with = [](const std::string& statistics, const std::string& rest = "") {
