--- a/src/statement/engine_call.hpp
+++ b/src/statement/engine_call.hpp
@@ -33,8 +33,8 @@
     Micros poll_again_after = 75 * kMillisecond;
 };
 
-// Returns the duration that a Retry-After header tells, in microseconds; 0 unless it occurs once and is a number
-// of seconds up to one day. The form with a date is not read.
+// Returns the duration that a Retry-After header tells, in microseconds; 0 unless it occurs once and is a
+// number of seconds up to one day. The form with a date is not read.
 Micros read_retry_after(const http::Headers& headers);
 
 class EngineCall {
