--- a/tests/front/client_protocol_test.cpp
+++ b/tests/front/client_protocol_test.cpp
@@ -78,6 +78,18 @@
     bed.expect_no_violations();
 }
 
+TEST(FrontClients, PollWithAnUnreadableTokenFindsNoDocument) {
+    FrontTestBed bed(1);
+    const auto first = bed.exchange("POST", "/v1/statement", "SELECT 1 /* gt: work_ms=5 rows=3 */");
+    const auto document = *statement::read_document(first.response.body);
+    const std::string path = document.next_uri.substr(document.next_uri.find("/v1/"));
+    const std::string base = path.substr(0, path.rfind('/') + 1);
+    for (const char* token : {"", "x", "1x", "-1", "+1", "1.0", "0x1", "99", "18446744073709551615",
+                              "99999999999999999999", "1/2"})
+        EXPECT_EQ(bed.exchange("GET", base + token).response.status, 404) << token;
+    EXPECT_EQ(bed.exchange("GET", path).response.status, 200);
+}
+
 TEST(FrontClients, DeleteConcurrentWithLastPollEndsStatementOnce) {
     FrontTestBed bed(1);
     for (int i = 0; i < 20; ++i) {
--- a/tests/front/invalid_documents_test.cpp
+++ b/tests/front/invalid_documents_test.cpp
@@ -213,6 +213,23 @@
     }));
 }
 
+TEST_F(InvalidDocuments, UptimeThatCannotBeReadLeavesTheLastKnownStart) {
+    const auto started_at = [&] {
+        return bed.front().engines().all().begin()->second->state_tracker.endpoint().started_at;
+    };
+    engine.info = R"({"starting":false,"uptime":"1.00s"})";
+    wait_for_status();
+    const Micros known = started_at();
+    EXPECT_GT(known, 0);
+    for (const char* uptime : {R"("")", R"("1x.00s")", R"("-1.00s")", R"("1")", R"("inf s")",
+                               R"("99999999999d")", "7", "null", "{}", R"("9.00d","uptime":"0.10s")"}) {
+        engine.info = std::string(R"({"starting":false,"uptime":)") + uptime + "}";
+        wait_for_status();
+        EXPECT_EQ(started_at(), known) << uptime;
+        EXPECT_EQ(state(), EndpointState::ready) << uptime;
+    }
+}
+
 // Guards against figures of an engine that keep the policy from admitting statements for good, and against an
 // overflow in the time after which a client may retry.
 TEST_F(InvalidDocuments, FiguresOutOfRangeDoNotKeepStatementsFromBeingServed) {
--- a/tests/http/parser_test.cpp
+++ b/tests/http/parser_test.cpp
@@ -140,5 +140,27 @@
     EXPECT_EQ(status(post + "Expect: teapot\r\n"), 417);
 }
 
+TEST(Parser, RejectsResponsesOfUnreadableStatusOrLength) {
+    const auto state = [](const std::string& text) {
+        return parse(Parser::Kind::response, text, 0).state;
+    };
+    EXPECT_EQ(state("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"), Parser::State::done);
+    for (const char* status : {"HTTP/1.1 2x0 OK", "HTTP/1.1 99 OK", "HTTP/1.1 099 OK", "HTTP/1.1 2000 OK",
+                               "HTTP/1.1", "HTTP/1.1 -20 OK", "HTTP/2.0 200 OK", "HTTP/1.1  200", "200 OK"})
+        EXPECT_EQ(state(std::string(status) + "\r\nContent-Length: 0\r\n\r\n"), Parser::State::failed)
+            << status;
+    for (const char* length :
+         {"", "x", "-1", "+1", "1.0", "1e1", "0x1", "99999999999999999999", "301", "1, 1",
+          "1\r\nContent-Length: 1", "1\r\nContent-Length: 2", "1\r\nTransfer-Encoding: chunked"})
+        EXPECT_EQ(state("HTTP/1.1 200 OK\r\nContent-Length: " + std::string(length) + "\r\n\r\nx"),
+                  Parser::State::failed)
+            << length;
+    for (const char* size : {"", "g", "-1", "1.0", "fffffffffffffffff", "12d"})
+        EXPECT_EQ(
+            state("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(size) + "\r\nx\r\n"),
+            Parser::State::failed)
+            << size;
+}
+
 }  // namespace
 }  // namespace gatetiller::http
--- a/tests/node/engine_connections_test.cpp
+++ b/tests/node/engine_connections_test.cpp
@@ -218,5 +218,69 @@
     EXPECT_EQ(events.back()->status, Status::not_sent);
 }
 
+// A connection to an engine with one open request, "id-a.", to which a test sends an answer.
+class AnsweringEngine : public ::testing::Test {
+protected:
+    void SetUp() override {
+        connections = std::make_unique<node::EngineConnections>(
+            loop, raw.listen(16), decide::ConnectionLimits{.max_connections = 1, .max_streams = 10}, pool);
+        exchange = connections->send_request(permit(), "id-a.", events);
+        ASSERT_TRUE(await(loop, [&] {
+            return (peer = raw.accept()) != nullptr;
+        }));
+        ASSERT_TRUE(await(loop, [&] {
+            peer->read();
+            return peer->received.find("id-a.") != std::string::npos;
+        }));
+    }
+    // Sends messages and the result of one page; returns the status of the request.
+    Status status_after(const std::string& messages) {
+        peer->send(messages + resp::array({"id-a.", "HIT", "chunks=1", "a\tb\tc\n"}));
+        EXPECT_TRUE(await(loop, [&] {
+            return events.status.has_value();
+        }));
+        return events.status.value_or(Status::not_sent);
+    }
+    net::PollLoop loop;
+    RawSocket raw;
+    node::ConnectionPool pool;
+    RecordedEvents events;
+    std::unique_ptr<node::EngineConnections> connections;
+    std::unique_ptr<node::Exchange> exchange;
+    std::unique_ptr<RawSocket> peer;
+};
+
+TEST_F(AnsweringEngine, IgnoresWhatBelongsToNoRequest) {
+    EXPECT_EQ(status_after(resp::array({"id-x.", "HIT", "chunks=s", "a\tb\tc\n"}) +
+                           resp::array({"id-x.", "PART", "at=s", "a\tb\tc\n"}) +
+                           resp::array({"tag", "PONG", "no fields", ""}) +
+                           resp::array({"id-a.", "PART", "at=1", "a\tb\tc\n"}) +
+                           resp::array({"id-a.", "INFO", "-", ""})),
+              Status::completed);
+    EXPECT_EQ(pool.unsolicited, 3u);
+    EXPECT_EQ(pool.malformed_responses, 0u);
+}
+
+TEST_F(AnsweringEngine, UnknownKindEndsTheConnection) {
+    EXPECT_EQ(status_after(resp::array({"id-a.", "HYT", "chunks=1", "a\tb\tc\n"})), Status::connection_lost);
+    EXPECT_EQ(pool.malformed_responses, 1u);
+}
+
+TEST_F(AnsweringEngine, MissingWordEndsTheConnection) {
+    EXPECT_EQ(status_after(resp::array({"id-a.", "HIT", "chunks=1"})), Status::connection_lost);
+}
+
+TEST_F(AnsweringEngine, WordTooManyEndsTheConnection) {
+    EXPECT_EQ(status_after(resp::array({"id-a.", "HIT", "chunks=1", "a\tb\tc\n", ""})),
+              Status::connection_lost);
+}
+
+// Guards against a rejection, which promises that nothing ran, of a request that has a result.
+TEST_F(AnsweringEngine, RejectionAfterAPageEndsTheConnection) {
+    EXPECT_EQ(status_after(resp::array({"id-a.", "HIT", "chunks=2", "a\tb\tc\n"}) +
+                           resp::array({"id-a.", "SHED", "-", ""})),
+              Status::connection_lost);
+}
+
 }  // namespace
 }  // namespace gatetiller::testing
--- a/tests/node/invalid_fields_test.cpp
+++ b/tests/node/invalid_fields_test.cpp
@@ -88,6 +88,34 @@
                              return std::string(test.param.description);
                          });
 
+class InvalidFieldList : public InvalidFields, public ::testing::WithParamInterface<InvalidValue> {};
+
+TEST_P(InvalidFieldList, EndsOnlyItsConnection) {
+    const std::string list = GetParam().value;
+    int messages = 0;
+    for (const char* engine : {"s-1", "s-2"})
+        add_engine(engine).alter_fields = [&messages, list](std::string_view kind,
+                                                            const std::string& fields) {
+            return kind == "HIT" && ++messages % kInvalidEvery == 0 ? list : fields;
+        };
+    start();
+    EXPECT_EQ(serve_requests(30), 30);
+    EXPECT_EQ(node->status().find(" malformed_responses=0"), std::string::npos) << node->status();
+    expect_no_violations();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, InvalidFieldList,
+    ::testing::Values(InvalidValue{"empty", ""}, InvalidValue{"none", "-"},
+                      InvalidValue{"name_without_value", "chunks"}, InvalidValue{"value_without_name", "=3"},
+                      InvalidValue{"empty_part", "chunks=3,,spent=1"}, InvalidValue{"noise", "\x01\x02\xff"},
+                      InvalidValue{"too_many",
+                                   "a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,"
+                                   "a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1"}),
+    [](const auto& test) {
+        return std::string(test.param.description);
+    });
+
 // Guards against rejecting, which promises that nothing ran, after a result whose page count cannot be read.
 TEST_F(InvalidFields, ResultOfNonIdempotentRequestWithoutPageCountFails) {
     settings.policy.classes[1].idempotency = Idempotency::non_idempotent;
