--- a/src/dns/dns.cpp
+++ b/src/dns/dns.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t kHeaderBytes = 12;
+constexpr std::size_t kServiceHeaderBytes = 6;  // priority, weight and port of an SRV record
+constexpr std::size_t kSoaNumberBytes = 20;     // serial and times of an SOA record
 
 std::string normalized_name(std::string_view name) {
     while (name.ends_with('.'))
@@ -95,7 +97,7 @@
 
     bool read_service(const ns_rr& record) {
         Data data(record);
-        if (data.size() <= 3 * NS_INT16SZ)
+        if (data.size() <= kServiceHeaderBytes)
             return false;
         SrvRecord service;
         service.priority = data.read_16();
@@ -140,7 +142,7 @@
         std::string unused_name;
         if (!read_name(data, unused_name) || !read_name(data, unused_name))
             return false;
-        if (data.size() != 5 * NS_INT32SZ)
+        if (data.size() != kSoaNumberBytes)
             return false;
         if (std::exchange(has_serial_, true)) {
             error_ = "two SOA records";
@@ -191,18 +193,18 @@
     return out;
 }
 
-Result<Response> parse_response(std::string_view bytes, std::uint16_t id, const std::string& name) {
-    ns_msg message;
-    if (bytes.size() < kHeaderBytes || ns_initparse(reinterpret_cast<const unsigned char*>(bytes.data()),
-                                                    static_cast<int>(bytes.size()), &message) != 0)
+Result<Response> parse_response(std::string_view message, std::uint16_t id, const std::string& name) {
+    ns_msg handle;
+    if (message.size() < kHeaderBytes || ns_initparse(reinterpret_cast<const unsigned char*>(message.data()),
+                                                      static_cast<int>(message.size()), &handle) != 0)
         return Error{"malformed message"};
-    if (ns_msg_id(message) != id || ns_msg_getflag(message, ns_f_qr) != 1)
+    if (ns_msg_id(handle) != id || ns_msg_getflag(handle, ns_f_qr) != 1)
         return Error{"not a response to this query"};
-    if (ns_msg_getflag(message, ns_f_tc) != 0)
+    if (ns_msg_getflag(handle, ns_f_tc) != 0)
         return Error{"truncated response"};
-    if (ns_msg_getflag(message, ns_f_rcode) != ns_r_noerror)
-        return Error{"error response with RCODE " + std::to_string(ns_msg_getflag(message, ns_f_rcode))};
-    ResponseReader reader(message, normalized_name(name));
+    if (ns_msg_getflag(handle, ns_f_rcode) != ns_r_noerror)
+        return Error{"error response with RCODE " + std::to_string(ns_msg_getflag(handle, ns_f_rcode))};
+    ResponseReader reader(handle, normalized_name(name));
     if (!reader.question_matches())
         return Error{"response to another question"};
     return reader.read();
--- a/src/resp/resp.cpp
+++ b/src/resp/resp.cpp
@@ -43,7 +43,8 @@
 ParseStatus read_array(std::string_view bytes, const Limits& limits, std::vector<std::string_view>& words,
                        std::size_t& size) {
     words.clear();
-    std::size_t at = 0, count = 0;
+    std::size_t at = 0;
+    std::size_t count = 0;
     if (const auto r = read_number(bytes, at, '*', limits.words, count); r != ParseStatus::complete)
         return r;
     for (std::size_t i = 0; i < count; ++i) {
--- a/src/resp/resp.hpp
+++ b/src/resp/resp.hpp
@@ -11,7 +11,7 @@
 
 struct Limits {
     std::size_t words = 8;
-    std::size_t word_bytes = 16 * 1024;
+    std::size_t word_bytes = 16'384;
 };
 
 enum class ParseStatus {
--- a/src/thrift/binary.cpp
+++ b/src/thrift/binary.cpp
@@ -45,7 +45,8 @@
 
 Fields Reader::fields(std::size_t max_count) {
     Fields map;
-    const auto key = static_cast<Type>(byte()), value = static_cast<Type>(byte());
+    const auto key = static_cast<Type>(byte());
+    const auto value = static_cast<Type>(byte());
     const std::int32_t count = i32();
     const bool strings = (key == Type::string && value == Type::string) || count == 0;
     if (!strings || count < 0 || static_cast<std::size_t>(count) > max_count)
@@ -88,8 +89,8 @@
         case Type::map:
         case Type::set:
         case Type::list: {
-            const Type first = static_cast<Type>(byte()),
-                       second = type == Type::map ? static_cast<Type>(byte()) : Type::stop;
+            const auto first = static_cast<Type>(byte());
+            const auto second = type == Type::map ? static_cast<Type>(byte()) : Type::stop;
             const std::int32_t count = i32();
             if (count < 0)
                 return fail();
--- a/src/thrift/service.cpp
+++ b/src/thrift/service.cpp
@@ -18,6 +18,36 @@
     return w.frame();
 }
 
+Call::What what_of(std::string_view method) {
+    if (method == "process")
+        return Call::What::process;
+    if (method == "giveUp")
+        return Call::What::give_up;
+    return method == "probe" ? Call::What::probe : Call::What::unknown;
+}
+
+// Reads the arguments up to the end of their struct. Returns false if one occurs twice. `has_number`: whether
+// there is that of giveUp.
+bool read_arguments(Reader& r, Call& call, bool& has_number) {
+    std::set<std::int16_t> ids;
+    std::int16_t id = 0;
+    for (Type type = r.field(id); r.ok() && type != Type::stop; type = r.field(id)) {
+        if (!ids.insert(id).second)
+            return false;
+        if (call.what == Call::What::process && id == kFieldsId && type == Type::map) {
+            call.fields = r.fields(kMaxFields);
+        } else if (call.what == Call::What::process && id == kBodyId && type == Type::string) {
+            call.body = r.string();
+        } else if (call.what == Call::What::give_up && id == kGivenUpId && type == Type::i32) {
+            call.given_up = r.i32();
+            has_number = true;
+        } else {
+            r.skip(type);
+        }
+    }
+    return true;
+}
+
 }  // namespace
 
 Result<Call> read_call(std::string_view frame) {
@@ -33,25 +63,10 @@
     call.seq = r.i32();
     if (!r.ok() || call.method.size() > kMaxMethodSize)
         return Error{"a message head that can't be read"};
-    call.what = call.method == "process"  ? Call::What::process
-                : call.method == "giveUp" ? Call::What::give_up
-                : call.method == "probe"  ? Call::What::probe
-                                          : Call::What::unknown;
-    std::set<std::int16_t> ids;
+    call.what = what_of(call.method);
     bool has_number = false;
-    std::int16_t id = 0;
-    for (Type t = r.field(id); r.ok() && t != Type::stop; t = r.field(id)) {
-        if (!ids.insert(id).second)
-            return Error{"an argument of " + call.method + " twice"};
-        if (call.what == Call::What::process && id == kFieldsId && t == Type::map)
-            call.fields = r.fields(kMaxFields);
-        else if (call.what == Call::What::process && id == kBodyId && t == Type::string)
-            call.body = r.string();
-        else if (call.what == Call::What::give_up && id == kGivenUpId && t == Type::i32)
-            call.given_up = r.i32(), has_number = true;
-        else
-            r.skip(t);
-    }
+    if (!read_arguments(r, call, has_number))
+        return Error{"an argument of " + call.method + " twice"};
     if (!r.ok() || !r.at_end())
         return Error{"arguments of " + call.method + " that can't be read"};
     if (call.what == Call::What::give_up && !has_number)
