--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -28,6 +28,8 @@
 constexpr Micros kLateAnswer = 500 * kMillisecond;  // it earns nothing and is not lost
 constexpr Micros kLookupPatience = 2 * kSecondMicros, kLoadPatience = 3 * kSecondMicros;
 constexpr int kSockets = 256;
+constexpr std::uint64_t kNoiseSeed =
+    0x6e6f697365;  // so that noise does not change what a seed draws otherwise
 
 // Short windows, a cell scope, a class that may not be repeated and one bound to a zone: each rule has
 // something to say.
@@ -54,6 +56,13 @@
     return text;
 }
 
+// Changes one byte so that a digit becomes something else: a reader can tell.
+void spoil_byte(std::string& text, Random& random) {
+    constexpr unsigned char kFlippedBit = 0x40;
+    char& byte = text[random.below(text.size())];
+    byte = static_cast<char>(static_cast<unsigned char>(byte) ^ kFlippedBit);
+}
+
 // Of a request, on one core: most are short; some loads are still out when their node was told to end a while
 // ago.
 int draw_work_ms(Random& random, const std::string& cls) {
@@ -186,6 +195,13 @@
     lab::PlatformEngineSettings settings;
     settings.name = e.name, settings.seed = random.next(), settings.at_once = 16, settings.waiting = 200;
     e.stand_in = std::make_unique<lab::PlatformEngine>(loop, settings, engine_records);
+    if (options.noise > 0)
+        e.stand_in->alter_fields = [noise = Random(settings.seed ^ kNoiseSeed), share = options.noise](
+                                       std::string_view, std::string fields) mutable {
+            if (noise.chance(share))
+                spoil_byte(fields, noise);
+            return fields;
+        };
     const std::string zone = engines.size() % 3 == 2 ? "y" : "z";
     e.entry = {e.name,
                zone,
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -140,6 +140,10 @@
         ->check(CLI::Range(4.0, 3600.0))
         ->capture_default_str();
     app.add_option("--rate", o.soak.rate, "requests a second at each node")->capture_default_str();
+    app.add_option("--noise", o.soak.noise,
+                   "share of the engines' messages with an unreadable byte in a field")
+        ->check(CLI::Range(0.0, 1.0))
+        ->capture_default_str();
     app.add_option("--without", o.soak.without, "numbers of troubles to leave out")->delimiter(',');
     app.add_option("--planted", o.soak.planted,
                    "names of planted faults; the program must be built with them");
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -20,6 +20,7 @@
     std::string folder;                                    // for configurations and logs
     std::string planted;  // names of planted faults, for a program built with them
     double rate = 20;     // requests a second at each node
+    double noise = 0;     // share of the engines' messages of which one byte of the fields is unreadable
 };
 
 struct Finding {
