--- a/tests/front/invalid_documents_test.cpp
+++ b/tests/front/invalid_documents_test.cpp
@@ -1,5 +1,6 @@
 // Engines whose documents have members that are missing, unreadable, repeated, out of range or of the wrong
 // type.
+#include "base/named_parameter.hpp"
 #include "front/front_test_bed.hpp"
 #include "http/server.hpp"
 
@@ -77,6 +78,10 @@
     http::Server server_;
 };
 
+struct InvalidText : NamedParameter {
+    const char* text;
+};
+
 // A front whose only engine is scripted.
 class InvalidDocuments : public ::testing::Test {
 protected:
@@ -105,12 +110,12 @@
     ScriptedEngine engine{bed.loop};
 };
 
-class InvalidNextUri : public InvalidDocuments, public ::testing::WithParamInterface<const char*> {};
+class InvalidNextUri : public InvalidDocuments, public ::testing::WithParamInterface<InvalidText> {};
 
 // Guards against serving the first page as the whole result because the URI of the next one cannot be read.
 TEST_P(InvalidNextUri, NeverServesAPartOfTheResultAsTheWhole) {
     engine.first_statement[1] =
-        ScriptedEngine::document(std::string(GetParam()) + R"(,"columns":[{"name":"a"}],"data":[[1]],)");
+        ScriptedEngine::document(std::string(GetParam().text) + R"(,"columns":[{"name":"a"}],"data":[[1]],)");
     const ClientStatement& submission = run();
     EXPECT_EQ(submission.error(), "");
     EXPECT_EQ(submission.pages, (std::vector<std::string>{"[[1]]", "[[2]]"}));
@@ -119,18 +124,22 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Values, InvalidNextUri,
-    ::testing::Values(R"("nextUri":2)", R"("nextUri":true)", R"("nextUri":["http://e/x"])",
-                      R"("nextUri":{"uri":"http://e/x"})", R"("nextUri":"")", R"("nextUri":"http://engine")",
-                      R"("nextUri":"http://e/v1/statement/executing/q/s/2\r\nX: y")",
-                      R"("nextUri":"http://e/v1/statement/executing/q/s/ 2")",
-                      R"("nextUri":"http://e/v1/statement/executing/q/s/2","nextUri":null)"));
+    ::testing::Values(
+        InvalidText{{"number"}, R"("nextUri":2)"}, InvalidText{{"boolean"}, R"("nextUri":true)"},
+        InvalidText{{"array"}, R"("nextUri":["http://e/x"])"},
+        InvalidText{{"object"}, R"("nextUri":{"uri":"http://e/x"})"},
+        InvalidText{{"empty"}, R"("nextUri":"")"}, InvalidText{{"no_path"}, R"("nextUri":"http://engine")"},
+        InvalidText{{"line_break"}, R"("nextUri":"http://e/v1/statement/executing/q/s/2\r\nX: y")"},
+        InvalidText{{"space"}, R"("nextUri":"http://e/v1/statement/executing/q/s/ 2")"},
+        InvalidText{{"repeated"}, R"("nextUri":"http://e/v1/statement/executing/q/s/2","nextUri":null)"}),
+    kParameterName);
 
-class InvalidStatistics : public InvalidDocuments, public ::testing::WithParamInterface<const char*> {};
+class InvalidStatistics : public InvalidDocuments, public ::testing::WithParamInterface<InvalidText> {};
 
 // Guards against sending a statement that must not execute twice again after a document whose state or work
 // cannot be read, as if that proved that it waited in the queue.
 TEST_P(InvalidStatistics, DoNotProveThatAStatementHasNotExecuted) {
-    engine.first_statement[1] = "{\"id\":\"q\",\"nextUri\":" + ScriptedEngine::uri(2) + GetParam() + "}";
+    engine.first_statement[1] = "{\"id\":\"q\",\"nextUri\":" + ScriptedEngine::uri(2) + GetParam().text + "}";
     engine.first_statement[2] =
         R"({"id":"q","error":{"message":"full","errorName":"QUERY_QUEUE_FULL","errorType":"INSUFFICIENT_RESOURCES"},)"
         R"("stats":{"state":"FAILED"}})";
@@ -140,13 +149,18 @@
     EXPECT_EQ(engine.statements, 1);
 }
 
-INSTANTIATE_TEST_SUITE_P(Values, InvalidStatistics,
-                         ::testing::Values("", R"(,"stats":{})", R"(,"stats":{"state":7,"cpuTimeMillis":5})",
-                                           R"(,"stats":{"state":"RUNN1NG"})", R"(,"stats":{"state":null})",
-                                           R"(,"stats":{"state":"QUEUED","cpuTimeMillis":"5"})",
-                                           R"(,"stats":{"state":"QUEUED","cpuTimeMillis":-5})"));
+INSTANTIATE_TEST_SUITE_P(
+    Values, InvalidStatistics,
+    ::testing::Values(InvalidText{{"missing"}, ""}, InvalidText{{"empty"}, R"(,"stats":{})"},
+                      InvalidText{{"state_of_another_type"}, R"(,"stats":{"state":7,"cpuTimeMillis":5})"},
+                      InvalidText{{"unknown_state"}, R"(,"stats":{"state":"RUNN1NG"})"},
+                      InvalidText{{"null_state"}, R"(,"stats":{"state":null})"},
+                      InvalidText{{"work_of_another_type"},
+                                  R"(,"stats":{"state":"QUEUED","cpuTimeMillis":"5"})"},
+                      InvalidText{{"negative_work"}, R"(,"stats":{"state":"QUEUED","cpuTimeMillis":-5})"}),
+    kParameterName);
 
-class UnknownProgress : public InvalidDocuments, public ::testing::WithParamInterface<const char*> {};
+class UnknownProgress : public InvalidDocuments, public ::testing::WithParamInterface<InvalidText> {};
 
 // Guards against cancelling an attempt whose engine tells no progress, or one that cannot be read, as if it
 // had made none.
@@ -156,7 +170,7 @@
     for (int page = 1; page < kPolls; ++page)
         engine.documents.insert(engine.documents.begin() + page,
                                 ScriptedEngine::document("\"nextUri\":" + ScriptedEngine::uri(page + 1) + ",",
-                                                         std::string("\"RUNNING\"") + GetParam()));
+                                                         std::string("\"RUNNING\"") + GetParam().text));
     engine.documents.at(kPolls) =
         ScriptedEngine::document("\"nextUri\":" + ScriptedEngine::uri(kPolls + 1) + R"(,"data":[[1]],)");
     const ClientStatement& submission = run("long");
@@ -166,9 +180,12 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Values, UnknownProgress,
-                         ::testing::Values("", R"(,"progressPercentage":null)",
-                                           R"(,"progressPercentage":"50")", R"(,"progressPercentage":-3)",
-                                           R"(,"progressPercentage":1e999)"));
+                         ::testing::Values(InvalidText{{"missing"}, ""},
+                                           InvalidText{{"null"}, R"(,"progressPercentage":null)"},
+                                           InvalidText{{"text"}, R"(,"progressPercentage":"50")"},
+                                           InvalidText{{"negative"}, R"(,"progressPercentage":-3)"},
+                                           InvalidText{{"overflow"}, R"(,"progressPercentage":1e999)"}),
+                         kParameterName);
 
 // A state that the engine tells before the execution is that proof.
 TEST_F(InvalidDocuments, StatementRejectedInTheQueueIsSentAgain) {
--- a/tests/node/invalid_fields_test.cpp
+++ b/tests/node/invalid_fields_test.cpp
@@ -1,5 +1,6 @@
 // Engines whose messages have fields that are missing, unreadable, repeated, out of range or of the wrong
 // type. The rules must hold, and a client must get a whole result or none.
+#include "base/named_parameter.hpp"
 #include "rig.hpp"
 
 namespace gatetiller::testing {
@@ -58,8 +59,7 @@
     int messages_ = 0;
 };
 
-struct InvalidValue {
-    const char* description;
+struct InvalidValue : NamedParameter {
     const char* value;  // null: the field is missing
 };
 
@@ -78,15 +78,14 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Values, InvalidPageCount,
-                         ::testing::Values(InvalidValue{"missing", nullptr}, InvalidValue{"empty", ""},
-                                           InvalidValue{"letter", "s"}, InvalidValue{"zero", "0"},
-                                           InvalidValue{"negative", "-3"}, InvalidValue{"too_large", "513"},
-                                           InvalidValue{"overflow", "99999999999999999999"},
-                                           InvalidValue{"fraction", "3.0"},
-                                           InvalidValue{"repeated", "1,chunks=4"}),
-                         [](const auto& test) {
-                             return std::string(test.param.description);
-                         });
+                         ::testing::Values(InvalidValue{{"missing"}, nullptr}, InvalidValue{{"empty"}, ""},
+                                           InvalidValue{{"letter"}, "s"}, InvalidValue{{"zero"}, "0"},
+                                           InvalidValue{{"negative"}, "-3"},
+                                           InvalidValue{{"too_large"}, "513"},
+                                           InvalidValue{{"overflow"}, "99999999999999999999"},
+                                           InvalidValue{{"fraction"}, "3.0"},
+                                           InvalidValue{{"repeated"}, "1,chunks=4"}),
+                         kParameterName);
 
 class InvalidFieldList : public InvalidFields, public ::testing::WithParamInterface<InvalidValue> {};
 
@@ -106,15 +105,15 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Values, InvalidFieldList,
-    ::testing::Values(InvalidValue{"empty", ""}, InvalidValue{"none", "-"},
-                      InvalidValue{"name_without_value", "chunks"}, InvalidValue{"value_without_name", "=3"},
-                      InvalidValue{"empty_part", "chunks=3,,spent=1"}, InvalidValue{"noise", "\x01\x02\xff"},
-                      InvalidValue{"too_many",
+    ::testing::Values(InvalidValue{{"empty"}, ""}, InvalidValue{{"none"}, "-"},
+                      InvalidValue{{"name_without_value"}, "chunks"},
+                      InvalidValue{{"value_without_name"}, "=3"},
+                      InvalidValue{{"empty_part"}, "chunks=3,,spent=1"},
+                      InvalidValue{{"noise"}, "\x01\x02\xff"},
+                      InvalidValue{{"too_many"},
                                    "a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,"
                                    "a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1,a=1"}),
-    [](const auto& test) {
-        return std::string(test.param.description);
-    });
+    kParameterName);
 
 // Guards against rejecting, which promises that nothing ran, after a result whose page count cannot be read.
 TEST_F(InvalidFields, ResultOfNonIdempotentRequestWithoutPageCountFails) {
@@ -159,19 +158,16 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Values, InvalidPageNumber,
-    ::testing::Values(InvalidValue{"missing", nullptr}, InvalidValue{"empty", ""},
-                      InvalidValue{"letter", "q"}, InvalidValue{"zero", "0"}, InvalidValue{"negative", "-1"},
-                      InvalidValue{"beyond_result", "77"}, InvalidValue{"too_large", "513"},
-                      InvalidValue{"overflow", "99999999999999999999"}, InvalidValue{"fraction", "1.0"},
-                      InvalidValue{"repeated", "1,at=2"}),
-    [](const auto& test) {
-        return std::string(test.param.description);
-    });
-
-struct InvalidFigure {
-    const char* description;
+    ::testing::Values(InvalidValue{{"missing"}, nullptr}, InvalidValue{{"empty"}, ""},
+                      InvalidValue{{"letter"}, "q"}, InvalidValue{{"zero"}, "0"},
+                      InvalidValue{{"negative"}, "-1"}, InvalidValue{{"beyond_result"}, "77"},
+                      InvalidValue{{"too_large"}, "513"}, InvalidValue{{"overflow"}, "99999999999999999999"},
+                      InvalidValue{{"fraction"}, "1.0"}, InvalidValue{{"repeated"}, "1,at=2"}),
+    kParameterName);
+
+struct InvalidFigure : NamedParameter {
     const char* kind;
-    const char* name;
+    const char* field;
     const char* value;
 };
 
@@ -197,7 +193,7 @@
 // Guards against a figure of a few messages that keeps the policy from admitting requests for good: it stays
 // in a moving average.
 TEST_P(FigureOutOfRange, DoesNotKeepLaterRequestsFromBeingServed) {
-    start_engines(GetParam().kind, GetParam().name, GetParam().value);
+    start_engines(GetParam().kind, GetParam().field, GetParam().value);
     // Every other request runs long enough for notes of progress.
     std::vector<int> durations_ms;
     for (int i = 0; i < 6; ++i)
@@ -214,28 +210,26 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Values, FigureOutOfRange,
-    ::testing::Values(InvalidFigure{"work_infinite", "HIT", "spent", "inf"},
-                      InvalidFigure{"work_nan", "HIT", "spent", "nan"},
-                      InvalidFigure{"work_negative", "HIT", "spent", "-5"},
-                      InvalidFigure{"work_huge", "HIT", "spent", "1e300"},
-                      InvalidFigure{"work_unreadable", "HIT", "spent", "x"},
-                      InvalidFigure{"work_missing", "HIT", "spent", nullptr},
-                      InvalidFigure{"work_repeated", "HIT", "spent", "1,spent=2"},
-                      InvalidFigure{"memory_infinite", "HIT", "wanted", "inf"},
-                      InvalidFigure{"load_infinite", "HIT", "gauges", "concurrent:inf;depth:0"},
-                      InvalidFigure{"load_nan", "HIT", "gauges", "concurrent:nan;depth:nan"},
-                      InvalidFigure{"load_negative", "HIT", "gauges", "concurrent:-1e300;depth:-1"},
-                      InvalidFigure{"load_huge", "HIT", "gauges", "concurrent:1e300;depth:0"},
-                      InvalidFigure{"load_unreadable", "HIT", "gauges", "concurrent=7"},
-                      InvalidFigure{"load_missing", "HIT", "gauges", nullptr},
-                      InvalidFigure{"progress_nan", "INFO", "amount", "nan"},
-                      InvalidFigure{"progress_negative", "INFO", "amount", "-1e300"},
-                      InvalidFigure{"progress_unreadable", "INFO", "amount", "x"},
-                      InvalidFigure{"progress_missing", "INFO", "amount", nullptr},
-                      InvalidFigure{"progress_of_unknown_resource", "INFO", "res", "so_fxr"}),
-    [](const auto& test) {
-        return std::string(test.param.description);
-    });
+    ::testing::Values(InvalidFigure{{"work_infinite"}, "HIT", "spent", "inf"},
+                      InvalidFigure{{"work_nan"}, "HIT", "spent", "nan"},
+                      InvalidFigure{{"work_negative"}, "HIT", "spent", "-5"},
+                      InvalidFigure{{"work_huge"}, "HIT", "spent", "1e300"},
+                      InvalidFigure{{"work_unreadable"}, "HIT", "spent", "x"},
+                      InvalidFigure{{"work_missing"}, "HIT", "spent", nullptr},
+                      InvalidFigure{{"work_repeated"}, "HIT", "spent", "1,spent=2"},
+                      InvalidFigure{{"memory_infinite"}, "HIT", "wanted", "inf"},
+                      InvalidFigure{{"load_infinite"}, "HIT", "gauges", "concurrent:inf;depth:0"},
+                      InvalidFigure{{"load_nan"}, "HIT", "gauges", "concurrent:nan;depth:nan"},
+                      InvalidFigure{{"load_negative"}, "HIT", "gauges", "concurrent:-1e300;depth:-1"},
+                      InvalidFigure{{"load_huge"}, "HIT", "gauges", "concurrent:1e300;depth:0"},
+                      InvalidFigure{{"load_unreadable"}, "HIT", "gauges", "concurrent=7"},
+                      InvalidFigure{{"load_missing"}, "HIT", "gauges", nullptr},
+                      InvalidFigure{{"progress_nan"}, "INFO", "amount", "nan"},
+                      InvalidFigure{{"progress_negative"}, "INFO", "amount", "-1e300"},
+                      InvalidFigure{{"progress_unreadable"}, "INFO", "amount", "x"},
+                      InvalidFigure{{"progress_missing"}, "INFO", "amount", nullptr},
+                      InvalidFigure{{"progress_of_unknown_resource"}, "INFO", "res", "so_fxr"}),
+    kParameterName);
 
 }  // namespace
 }  // namespace gatetiller::testing
