Forward to another loop in one class, which TapLoop and the clocks of tests share

The loops of tests that change a clock repeated the eight functions with which TapLoop forwards to the loop below. net::ForwardingLoop has them once. No change of behaviour. Three tests of dns share one function that parses their sections.

--- a/src/net/tap.cpp
+++ b/src/net/tap.cpp
@@ -106,7 +106,7 @@
 
 Result<std::unique_ptr<Listener>> TapLoop::listen(const Address& at,
                                                   std::function<void(std::unique_ptr<Stream>)> accepted) {
-    return below_.listen(at, [this, accepted = std::move(accepted)](std::unique_ptr<Stream> stream) {
+    return ForwardingLoop::listen(at, [this, accepted = std::move(accepted)](std::unique_ptr<Stream> stream) {
         auto tapped = std::make_unique<Tapped>(*this, ++last_);
         tapped->attach(std::move(stream));
         report(last_, TapEvent::What::accepted, tapped->peer());
@@ -118,7 +118,7 @@
     auto tapped = std::make_unique<Tapped>(*this, ++last_);
     tapped->owner_ = &events;
     report(last_, TapEvent::What::connecting, to.text());
-    tapped->attach(below_.connect(to, *tapped, time_out));
+    tapped->attach(ForwardingLoop::connect(to, *tapped, time_out));
     return tapped;
 }
 
--- a/src/net/tap.hpp
+++ b/src/net/tap.hpp
@@ -2,7 +2,7 @@
 // sits below every protocol, so that code above it cannot report traffic that did not happen.
 #pragma once
 
-#include "net/loop.hpp"
+#include "net/forwarding_loop.hpp"
 
 namespace gatetiller::net {
 
@@ -22,36 +22,15 @@
     std::string_view bytes;  // for sent and received: all bytes of one call
 };
 
-class TapLoop final : public Loop {
+// Datagrams carry no statements and are not reported to the sink.
+class TapLoop final : public ForwardingLoop {
 public:
     using Sink = std::function<void(const TapEvent&)>;
-    TapLoop(Loop& below, Sink sink) : below_(below), sink_(std::move(sink)) {}
+    TapLoop(Loop& below, Sink sink) : ForwardingLoop(below), sink_(std::move(sink)) {}
 
-    Micros now() const override {
-        return below_.now();
-    }
-    Micros input_delay() const override {
-        return below_.input_delay();
-    }
-    Micros wall() const override {
-        return below_.wall();
-    }
-    TimerId after(Micros delay, std::function<void()> call) override {
-        return below_.after(delay, std::move(call));
-    }
-    void cancel(TimerId timer) override {
-        below_.cancel(timer);
-    }
-    std::size_t timers() const override {
-        return below_.timers();
-    }
     Result<std::unique_ptr<Listener>> listen(const Address& at,
                                              std::function<void(std::unique_ptr<Stream>)> accepted) override;
     std::unique_ptr<Stream> connect(const Address& to, StreamEvents& events, Micros time_out) override;
-    // Datagrams carry no statements and are not reported to the sink.
-    Result<std::unique_ptr<Datagrams>> datagrams(const Address& at, Datagrams::Received received) override {
-        return below_.datagrams(at, std::move(received));
-    }
 
 private:
     class Tapped;
@@ -60,7 +39,6 @@
         sink_({now(), stream, what, peer, bytes});
     }
 
-    Loop& below_;
     Sink sink_;
     std::uint64_t last_ = 0;
 };
--- a/tests/dns/dns_test.cpp
+++ b/tests/dns/dns_test.cpp
@@ -90,13 +90,14 @@
     return record(kTarget, 1, std::string(address));
 }
 
+Result<Response> parse(const Sections& sections) {
+    return parse_response(message_of(sections), 77, kName);
+}
+
 // Guards against a serial or an address that depends on the order of contradicting records.
 TEST(Dns, RejectsRepeatedRecordsThatMustOccurOnce) {
     const std::string one("\x0a\x01\x00\x09", 4);
     const std::string other("\x0a\x01\x00\x08", 4);
-    const auto parse = [](const Sections& sections) {
-        return parse_response(message_of(sections), 77, kName);
-    };
     const auto valid = parse({{srv_record(kTarget)}, {soa_record(41)}, {a_record(one), a_record(one)}});
     ASSERT_TRUE(valid) << valid.error();
     EXPECT_EQ(valid->serial, 41u);
@@ -109,9 +110,6 @@
 
 // Guards against the serial of an SOA record outside the authority section, which is not that of the list.
 TEST(Dns, ReadsTheSerialOfTheAuthoritySectionOnly) {
-    const auto parse = [](const Sections& sections) {
-        return parse_response(message_of(sections), 77, kName);
-    };
     const auto response = parse({{soa_record(7)}, {soa_record(41)}, {soa_record(9)}});
     ASSERT_TRUE(response) << response.error();
     EXPECT_EQ(response->serial, 41u);
@@ -119,19 +117,19 @@
 }
 
 TEST(Dns, RejectsRecordsOfAWrongLength) {
-    const auto parse = [](const std::string& answer, const std::string& authority,
-                          const std::string& additional) {
-        return parse_response(message_of({{answer}, {authority}, {additional}}), 77, kName);
+    const auto parse_records = [](const std::string& answer, const std::string& authority,
+                                  const std::string& additional) {
+        return parse({{answer}, {authority}, {additional}});
     };
     const std::string address = a_record(std::string("\x0a\x01\x00\x09", 4));
-    EXPECT_TRUE(parse(srv_record(kTarget), soa_record(41), address));
-    EXPECT_FALSE(parse(srv_record(kTarget + "x"), soa_record(41), address));
-    EXPECT_FALSE(parse(record(kOwner, 33, std::string(6, '\0')), soa_record(41), address));
-    EXPECT_FALSE(
-        parse(srv_record(kTarget), record(kOwner, 6, labels({"ns"}) + labels({"a"}) + "1234"), address));
-    EXPECT_FALSE(parse(srv_record(kTarget), soa_record(41), a_record("\x0a\x01")));
-    EXPECT_FALSE(parse(srv_record(kTarget), soa_record(41), a_record("12345")));
-    EXPECT_FALSE(parse(srv_record(kTarget), soa_record(41), record(kTarget, 16, "\x09short")));
+    EXPECT_TRUE(parse_records(srv_record(kTarget), soa_record(41), address));
+    EXPECT_FALSE(parse_records(srv_record(kTarget + "x"), soa_record(41), address));
+    EXPECT_FALSE(parse_records(record(kOwner, 33, std::string(6, '\0')), soa_record(41), address));
+    EXPECT_FALSE(parse_records(srv_record(kTarget),
+                               record(kOwner, 6, labels({"ns"}) + labels({"a"}) + "1234"), address));
+    EXPECT_FALSE(parse_records(srv_record(kTarget), soa_record(41), a_record("\x0a\x01")));
+    EXPECT_FALSE(parse_records(srv_record(kTarget), soa_record(41), a_record("12345")));
+    EXPECT_FALSE(parse_records(srv_record(kTarget), soa_record(41), record(kTarget, 16, "\x09short")));
 }
 
 TEST(Dns, ParsesResponseWithCompressedNames) {
--- a/tests/front/front_test_bed.hpp
+++ b/tests/front/front_test_bed.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "base/await.hpp"
-#include "base/forwarding_loop.hpp"
+#include "base/loop_clocks.hpp"
 #include "engine/service.hpp"
 #include "front/front.hpp"
 #include "lab/checker.hpp"
--- a/tests/node/engine_connections_test.cpp
+++ b/tests/node/engine_connections_test.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 
 #include "base/await.hpp"
-#include "base/forwarding_loop.hpp"
+#include "base/loop_clocks.hpp"
 #include "net/poll_loop.hpp"
 #include "raw_socket.hpp"
 #include "resp/resp.hpp"
