Keep an engine's last known state where it already stands, in EndpointStateTracker

The tracker is told of an unknown state now and changes nothing for it; its test says so. A boolean of a JSON text is read by one function in place of two. No change of behaviour.

--- a/src/decide/endpoint_state_tracker.cpp
+++ b/src/decide/endpoint_state_tracker.cpp
@@ -22,14 +22,14 @@
     return update_reported();
 }
 
-bool EndpointStateTracker::on_status_reported(Micros now, bool shutting_down, bool starting,
+bool EndpointStateTracker::on_status_reported(Micros now, std::optional<bool> shutting_down, bool starting,
                                               std::optional<Micros> uptime) {
     if (uptime) {
         const Micros started_at = now - *uptime;
         if (started_at > process_started_at_ + kStartTolerance)
             process_started_at_ = std::max<Micros>(started_at, 1);
     }
-    shutting_down_ = shutting_down;
+    shutting_down_ = shutting_down.value_or(shutting_down_);
     starting_ = starting;
     awaits_status_ = false;
     return update_reported();
--- a/src/decide/endpoint_state_tracker.hpp
+++ b/src/decide/endpoint_state_tracker.hpp
@@ -24,8 +24,11 @@
     // The endpoint list has this entry; state `removed`: the list no longer contains the engine.
     bool on_listed(const Endpoint& entry);
 
-    // The engine's status was read at `now`. `uptime`: of its process, nothing where it is not reported.
-    bool on_status_reported(Micros now, bool shutting_down, bool starting, std::optional<Micros> uptime);
+    // The engine's status was read at `now`. `shutting_down`: nothing where its state is unknown, which
+    // changes nothing: an engine does not accept statements again because its state cannot be read. `uptime`:
+    // of its process, nothing where it is not reported.
+    bool on_status_reported(Micros now, std::optional<bool> shutting_down, bool starting,
+                            std::optional<Micros> uptime);
 
     // A status request is pending whose response must precede the first attempt: a gateway that has just
     // started does not know whether the engine is in slow start.
--- a/src/front/engine_registry.cpp
+++ b/src/front/engine_registry.cpp
@@ -34,21 +34,13 @@
     return result.outcome == http::CallOutcome::answered && result.response.status == kStatusOk;
 }
 
-// Returns the member `starting`, or `previous` if it is not a boolean.
-bool read_starting(std::string_view raw, bool previous) {
-    if (raw != "true" && raw != "false")
-        return previous;
-    return raw == "true";
-}
-
-// Returns whether the state is that of an engine that shuts down, or `previous` if the state is unknown: an
-// engine does not accept statements again because its state cannot be read.
-bool read_shutting_down(std::string_view body, bool previous) {
+// Returns whether the state is that of an engine that shuts down, or nothing if the state is unknown.
+std::optional<bool> read_shutting_down(std::string_view body) {
     const auto state = statement::as_string(trimmed(body));
     if (state == "SHUTTING_DOWN")
         return true;
     const bool accepts_statements = state == "ACTIVE" || state == "STARTING";
-    return accepts_statements ? false : previous;
+    return accepts_statements ? std::optional(false) : std::nullopt;
 }
 
 AttemptOutcome health_outcome_of(const http::Answer& result) {
@@ -289,7 +281,7 @@
     engine.uptime.reset();
     for (const auto& member : *members) {
         if (member.key == "starting")
-            engine.starting = read_starting(member.raw, was_starting);
+            engine.starting = statement::as_bool(member.raw).value_or(was_starting);
         if (member.key == "uptime") {
             const auto uptime = parse_duration(statement::as_string(member.raw).value_or(""));
             if (uptime)
@@ -305,10 +297,10 @@
 void EngineRegistry::on_state(Engine& engine, const http::Answer& result) {
     if (!is_ok(result))
         return on_status_unavailable(engine);
-    engine.shutting_down = read_shutting_down(result.response.body, engine.shutting_down);
+    const auto shutting_down = read_shutting_down(result.response.body);
     const Micros now = loop_.now();
     const bool changed =
-        engine.state_tracker.on_status_reported(now, engine.shutting_down, engine.starting, engine.uptime);
+        engine.state_tracker.on_status_reported(now, shutting_down, engine.starting, engine.uptime);
     const bool slow_start_hold_changed =
         engine.state_tracker.hold_in_slow_start(now, slow_start_hold_until_, slow_start_window_);
     if (changed || slow_start_hold_changed)
--- a/src/front/engine_registry.hpp
+++ b/src/front/engine_registry.hpp
@@ -31,7 +31,6 @@
     http::Client::Call state_poll;
     std::optional<Micros> uptime;    // according to its last status report
     bool starting = false;           // according to its last status report
-    bool shutting_down = false;      // according to its last status report
     Micros connections_lost_at = 0;  // time of the last poll caused by the loss of all connections
 };
 
--- a/src/statement/document.cpp
+++ b/src/statement/document.cpp
@@ -45,12 +45,6 @@
     {"peakMemoryBytes", &Stats::peak_memory_bytes},
     {"spilledBytes", &Stats::spilled_bytes}};
 
-std::optional<bool> read_flag(std::string_view raw) {
-    if (raw != "true" && raw != "false")
-        return std::nullopt;
-    return raw == "true";
-}
-
 bool read_state(std::string_view raw, Stats& stats) {
     auto state = as_string(raw);
     if (!state || std::find(std::begin(kStates), std::end(kStates), *state) == std::end(kStates))
@@ -69,9 +63,9 @@
 // Returns false if the value of a known member cannot be read; it keeps its default then.
 bool read_stats_member(const Member& member, Stats& stats) {
     if (member.key == "queued")
-        return assign(read_flag(member.raw), stats.queued);
+        return assign(as_bool(member.raw), stats.queued);
     if (member.key == "scheduled")
-        return assign(read_flag(member.raw), stats.scheduled);
+        return assign(as_bool(member.raw), stats.scheduled);
     if (member.key == "progressPercentage")
         return assign(to_number_in<double>(member.raw, 0, 100), stats.progress);
     for (const auto& [key, to] : kNumbers)
--- a/src/statement/json.cpp
+++ b/src/statement/json.cpp
@@ -219,6 +219,12 @@
     return n;
 }
 
+std::optional<bool> as_bool(std::string_view raw) {
+    if (raw != "true" && raw != "false")
+        return std::nullopt;
+    return raw == "true";
+}
+
 std::optional<std::string> as_string(std::string_view raw) {
     if (raw.size() < 2 || raw.front() != '"' || raw.back() != '"')
         return std::nullopt;
--- a/src/statement/json.hpp
+++ b/src/statement/json.hpp
@@ -26,6 +26,8 @@
 
 // A value as text: a string without its quotes and escapes. Nothing for another kind of value.
 std::optional<std::string> as_string(std::string_view raw);
+// A value as a boolean. Nothing for another kind of value.
+std::optional<bool> as_bool(std::string_view raw);
 std::string json_string(std::string_view text);  // as a JSON string
 
 }  // namespace gatetiller::statement
--- a/tests/decide/endpoint_state_tracker_test.cpp
+++ b/tests/decide/endpoint_state_tracker_test.cpp
@@ -23,6 +23,8 @@
     EXPECT_GT(tracker.endpoint().started_at, first);
     EXPECT_TRUE(tracker.on_status_reported(now, true, false, std::nullopt));
     EXPECT_EQ(tracker.endpoint().state, EndpointState::draining);
+    EXPECT_FALSE(tracker.on_status_reported(now, std::nullopt, false, std::nullopt));  // an unknown state
+    EXPECT_EQ(tracker.endpoint().state, EndpointState::draining);
     entry.state = EndpointState::removed;
     EXPECT_TRUE(tracker.on_listed(entry));
     EXPECT_EQ(tracker.endpoint().state, EndpointState::removed);
