State the range of an engine's start once; configured numbers without a default

The name service and the configured list each had the latest start that is accepted. whole_number() of the configuration reads a member that is there, as the functions beside it do, so the serial needs no second call to be found missing; a member that an event lacks is left alone. The names of a list are kept as they are read, not cut out again. No change of behaviour.

--- a/src/decide/reported_values.hpp
+++ b/src/decide/reported_values.hpp
@@ -2,6 +2,7 @@
 // the policy keeps moving averages, in which a single infinity or a NaN would stay for good.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -13,6 +14,8 @@
 constexpr double kMaxWorkMs = 1e8;
 // Memory of one request, in MiB.
 constexpr double kMaxMemoryMb = 1e7;
+// Start of an engine, in milliseconds since 1970: the end of the year 9999.
+constexpr std::int64_t kMaxStartMs = 253'402'300'799'999;
 // A value of a load report: a count of queries, a rate per second, a mean in milliseconds or a share.
 constexpr double kMaxLoadValue = 1e6;
 
--- a/src/discovery/dns_endpoints.cpp
+++ b/src/discovery/dns_endpoints.cpp
@@ -7,13 +7,13 @@
 #include <string_view>
 
 #include "base/text.hpp"
+#include "decide/reported_values.hpp"
 
 namespace gatetiller::discovery {
 namespace {
 
 constexpr double kSrvWeightPerShare = 10;
 constexpr std::uint16_t kReadyPriority = 0;  // every other priority is that of a draining endpoint
-constexpr std::int64_t kMaxStartMs = 253'402'300'799'999;  // the end of the year 9999
 
 // The values of an endpoint's attributes; nothing where it has none with that name.
 struct Attributes {
@@ -55,7 +55,7 @@
     if (!cell)
         return Error{"a cell that is not a number: '" + std::string(*attributes.cell) + "'"};
     endpoint.cell = *cell;
-    const auto start = to_number_in<std::int64_t>(attributes.started.value_or("0"), 0, kMaxStartMs);
+    const auto start = to_number_in<std::int64_t>(attributes.started.value_or("0"), 0, decide::kMaxStartMs);
     if (!start)
         return Error{"a start that is not a time in milliseconds: '" + std::string(*attributes.started) +
                      "'"};
@@ -105,7 +105,7 @@
 Result<std::vector<decide::DiscoveredEndpoint>> read_endpoints(const dns::Response& response) {
     std::vector<decide::DiscoveredEndpoint> endpoints;
     std::vector<Attributes> all_attributes;
-    std::set<std::string_view> names;
+    std::set<std::string> names;
     static const std::vector<std::string> kNoTexts;
     for (const auto& record : response.srv_records) {
         auto endpoint = read_service(record, response);
@@ -118,7 +118,7 @@
         const auto applied = apply_attributes(*attributes, *endpoint);
         if (!applied)
             return Error{record.target + " has " + applied.error()};
-        if (!names.insert(std::string_view(record.target).substr(0, record.target.find('.'))).second)
+        if (!names.insert(endpoint->name).second)
             return Error{"two SRV records for " + endpoint->name};
         endpoints.push_back(std::move(*endpoint));
         all_attributes.push_back(*attributes);
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -11,6 +11,7 @@
 #include "base/text.hpp"
 #include "base/unique_members.hpp"
 #include "config/settings.hpp"
+#include "decide/reported_values.hpp"
 #include "platform/settings.hpp"
 
 namespace gatetiller::node {
@@ -19,8 +20,7 @@
 using Json = nlohmann::json;
 
 constexpr Micros kDefaultConnectTimeout = 250 * kMillisecond;
-constexpr std::int64_t kMaxStartMs = 253'402'300'799'999;  // the end of the year 9999
-constexpr double kMaxNumber = 1e15;                        // doubles hold integers below it exactly
+constexpr double kMaxNumber = 1e15;  // doubles hold integers below it exactly
 
 struct ConfigError : std::runtime_error {
     using std::runtime_error::runtime_error;
@@ -67,12 +67,8 @@
     throw ConfigError("lifecycle must be active, leaving or left, not " + lifecycle);
 }
 
-// Reads a whole number; `otherwise` if the member is missing.
-std::int64_t whole_number(const Json& object, const char* name, std::int64_t otherwise, std::int64_t least,
-                          std::int64_t most) {
-    if (!object.contains(name))
-        return otherwise;
-    const Json& number = object.at(name);
+std::int64_t whole_number(const Json& object, const char* name, std::int64_t least, std::int64_t most) {
+    const Json& number = member(object, name);
     const bool is_too_large =
         number.is_number_unsigned() && number.get<std::uint64_t>() > static_cast<std::uint64_t>(most);
     const bool is_valid = number.is_number_integer() && !is_too_large &&
@@ -92,19 +88,18 @@
 
 // Applies what an event tells of an endpoint; the members that it lacks keep their values.
 void apply_event(const Json& json, decide::DiscoveredEndpoint& endpoint) {
-    const auto text = [&](const char* name, const std::string& otherwise) {
-        return json.contains(name) ? value<std::string>(json, name, "text") : otherwise;
-    };
     endpoint.address = address(json, "hostPort").text();
-    endpoint.zone = text("zone", endpoint.zone);
-    endpoint.kind = text("machineType", endpoint.kind);
-    endpoint.cell = whole_number(json, "cell", endpoint.cell, std::numeric_limits<std::int64_t>::min(),
-                                 std::numeric_limits<std::int64_t>::max());
+    if (json.contains("zone"))
+        endpoint.zone = value<std::string>(json, "zone", "text");
+    if (json.contains("machineType"))
+        endpoint.kind = value<std::string>(json, "machineType", "text");
+    if (json.contains("cell"))
+        endpoint.cell = whole_number(json, "cell", std::numeric_limits<std::int64_t>::min(),
+                                     std::numeric_limits<std::int64_t>::max());
     if (json.contains("weight"))
         endpoint.share = value<double>(json, "weight", "a number");
-    const auto start_ms =
-        whole_number(json, "startedAtMs", endpoint.started_at / kMillisecond, 0, kMaxStartMs);
-    endpoint.started_at = start_ms * kMillisecond;
+    if (json.contains("startedAtMs"))
+        endpoint.started_at = whole_number(json, "startedAtMs", 0, decide::kMaxStartMs) * kMillisecond;
     if (json.contains("lifecycle"))
         endpoint.state = parse_state(value<std::string>(json, "lifecycle", "text"));
 }
@@ -128,9 +123,8 @@
 // Merges the configured events into one list: the first holds the complete list (`reset`), later ones hold
 // changes to it.
 void read_known_endpoints(const Json& known, NodeSettings& settings) {
-    (void)member(known, "offset");
-    settings.known_serial = static_cast<std::uint64_t>(
-        whole_number(known, "offset", 0, 1, static_cast<std::int64_t>(kMaxNumber)));
+    settings.known_serial =
+        static_cast<std::uint64_t>(whole_number(known, "offset", 1, static_cast<std::int64_t>(kMaxNumber)));
     for (const Json& event : member(known, "batch")) {
         const Json& topology = member(event, "topology");
         if (topology.value("reset", false))
