A client is closed as a slow reader only if it was offered bytes and took none

Cause: ClientSessions::respond closed a client above 1 MB of queued bytes, and bytes are offered to the kernel only in the next turn of the loop: 22 large results that end in one turn were enough.

Answers to probes and unknown methods count too.

--- a/src/decide/close_guard.hpp
+++ b/src/decide/close_guard.hpp
@@ -29,7 +29,7 @@
     malformed,
     // The client closed the connection, or it broke.
     peer_closed,
-    // The client leaves more response bytes unread than ResourceLimits::unsent_bytes.
+    // The client does not read its responses (slow_reader.hpp).
     slow_reader,
     // The client did not close within ClientTimeouts::linger_timeout after its last response.
     linger_timeout,
--- a/src/decide/resource_limits.cpp
+++ b/src/decide/resource_limits.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decide/client_sequence_numbers.hpp"
+
 namespace gatetiller::decide {
 namespace {
 
@@ -11,6 +13,9 @@
 constexpr std::size_t kMinRequests = 64;
 constexpr std::size_t kMaxRequests = 20'000;
 constexpr std::size_t kMinUnsentBytes = std::size_t{64} * 1024;
+// The largest response that the platform allows, with its headers.
+constexpr std::size_t kMaxResponseBytes = 49'152;
+constexpr std::size_t kMinMaxUnsentBytes = ClientSequenceNumbers::kMaxOpen * kMaxResponseBytes;
 constexpr std::size_t kBytesPerMebibyte = 1 << 20;
 
 std::size_t connection_descriptors(std::int64_t descriptors) {
@@ -32,6 +37,8 @@
     limits.statement_bytes = memory / 8;
     limits.requests = std::clamp(memory / 4 / kBytesPerRequest, kMinRequests, kMaxRequests);
     limits.unsent_bytes = std::max(kMinUnsentBytes, memory / 32);
+    limits.max_unsent_bytes = std::max(kMinMaxUnsentBytes, 4 * limits.unsent_bytes);
+    limits.total_unsent_bytes = memory / 4;
     return limits;
 }
 
--- /dev/null
+++ b/src/decide/slow_reader.hpp
@@ -0,0 +1,50 @@
+// Which clients are closed because they do not read their responses.
+//
+// A client that reads never has more unsent responses than requests it may have open, and takes bytes
+// whenever the kernel has room for them. So a client is closed at once only for more than that; for less,
+// only after it has been offered bytes and has taken none at several checks in a row. A check counts for
+// nothing unless the bytes have been offered to the kernel since the previous one.
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "decide/resource_limits.hpp"
+
+namespace gatetiller::decide {
+
+// One client connection at a check.
+struct ReaderSnapshot {
+    // Bytes of responses that the kernel has not accepted.
+    std::size_t unsent_bytes = 0;
+    // Consecutive checks, this one included, at which the kernel had accepted no byte since the previous
+    // check.
+    int stalled_checks = 0;
+};
+
+// Counts the checks at which a client has taken none of the bytes offered to it.
+class ReadProgress {
+public:
+    // Bytes were queued for the client.
+    void add_queued(std::size_t bytes) {
+        queued_ += bytes;
+    }
+    // To be called at each check, with the bytes that the kernel has not accepted yet.
+    ReaderSnapshot check(std::size_t unsent_bytes);
+
+private:
+    std::size_t queued_ = 0;
+    std::size_t accepted_ = 0;  // at the last check
+    int stalled_checks_ = 0;
+};
+
+// Whether the unsent responses of one client are more than any client that reads can have. Needs no check.
+bool exceeds_unsent_limit(std::size_t unsent_bytes, const ResourceLimits& limits);
+
+// Returns the indices of the clients to close at a check: those over their share that have stalled for long,
+// then, while all together hold more than ResourceLimits::total_unsent_bytes, stalled ones, the largest
+// first.
+std::vector<std::size_t> select_slow_readers(const std::vector<ReaderSnapshot>& clients,
+                                             const ResourceLimits& limits);
+
+}  // namespace gatetiller::decide
--- a/src/node/client_sessions.cpp
+++ b/src/node/client_sessions.cpp
@@ -49,9 +49,15 @@
     bool read_now() {
         return stream_->read_now();
     }
-    // Sends the response and returns the number of bytes that wait to be sent; nothing if the request is not
-    // open.
-    std::optional<std::size_t> respond(std::int32_t sequence, std::string frame);
+    // Queues the response. Returns false if the request is not open.
+    bool respond(std::int32_t sequence, std::string frame);
+    std::size_t unsent() const {
+        return stream_->unsent();
+    }
+    // To be called at each sweep.
+    decide::ReaderSnapshot check_reading() {
+        return read_progress_.check(stream_->unsent());
+    }
     void close_if_answered();
     // Closes gracefully: pending output is sent, further input is read and discarded.
     void close(const decide::ClosePermit& permit);
@@ -70,6 +76,7 @@
     Reading read_message(Buffer& in, int calls);
     void handle(thrift::Call call);
     void handle_process(thrift::Call call);
+    void queue(std::string frame);
     void end_malformed(std::int32_t sequence, thrift::Fault fault, const std::string& reason);
     Micros max_unread_wait() const;
 
@@ -78,6 +85,7 @@
     std::unique_ptr<net::Stream> stream_;
     decide::ClientSnapshot state_;  // without the number of open requests, which is in `sequence_numbers_`
     decide::ClientSequenceNumbers sequence_numbers_;
+    decide::ReadProgress read_progress_;
     Micros backlog_wait_ = 0;  // maximum time spent in the listen backlog
     bool deferred_ = false;    // complete messages wait for the next turn
     // A malformed message has arrived: further input is discarded, and the connection closes once the
@@ -156,16 +164,16 @@
     switch (call.what) {
         case What::probe:
             state_.has_sent_request = true;
-            stream_->send(thrift::answer(call.method, call.seq, {}));
-            return;
+            queue(thrift::answer(call.method, call.seq, {}));
+            return sessions_.close_if_over_limit(id_);
         case What::give_up:
             if (sequence_numbers_.release(call.given_up))
                 sessions_.events_.on_cancelled(id_, call.given_up);
             return;
         case What::unknown:
-            stream_->send(thrift::exception(call.method, call.seq, thrift::Fault::unknown_method,
-                                            "no such method: " + call.method));
-            return;
+            queue(thrift::exception(call.method, call.seq, thrift::Fault::unknown_method,
+                                    "no such method: " + call.method));
+            return sessions_.close_if_over_limit(id_);
         case What::process:
             return handle_process(std::move(call));
     }
@@ -211,7 +219,7 @@
 void ClientSessions::Connection::end_malformed(std::int32_t sequence, thrift::Fault fault,
                                                const std::string& reason) {
     ++sessions_.counters_.malformed;
-    stream_->send(thrift::exception("process", sequence, fault, reason));
+    queue(thrift::exception("process", sequence, fault, reason));
     malformed_ = true;
     state_.partial_request_since = 0;
     if (sequence_numbers_.release(sequence))
@@ -226,12 +234,18 @@
         close(*permit);
 }
 
-std::optional<std::size_t> ClientSessions::Connection::respond(std::int32_t sequence, std::string frame) {
+bool ClientSessions::Connection::respond(std::int32_t sequence, std::string frame) {
     if (!sequence_numbers_.release(sequence))
-        return std::nullopt;
+        return false;
     state_.last_active_at = sessions_.loop_.now();
-    stream_->send(std::move(frame));
-    return stream_->unsent();
+    queue(std::move(frame));
+    return true;
+}
+
+void ClientSessions::Connection::queue(std::string frame) {
+    const std::size_t size = frame.size();
+    if (stream_->send(std::move(frame)) != 0)
+        read_progress_.add_queued(size);
 }
 
 void ClientSessions::Connection::close(const decide::ClosePermit&) {
@@ -258,7 +272,7 @@
         return listener.failure();
     listener_ = std::move(*listener);
     sweep_timer_ = loop_.after(kSweepInterval, [this] {
-        close_timed_out();
+        sweep();
     });
     return listener_->address();
 }
@@ -402,10 +416,32 @@
         events_.on_cancelled(id, sequence);
 }
 
-void ClientSessions::close_timed_out() {
+void ClientSessions::sweep() {
     sweep_timer_ = loop_.after(kSweepInterval, [this] {
-        close_timed_out();
+        sweep();
     });
+    close_timed_out();
+    close_slow_readers();
+}
+
+void ClientSessions::close_slow_readers() {
+    std::vector<ClientId> ids;
+    std::vector<decide::ReaderSnapshot> readers;
+    for (const auto& [id, connection] : connections_) {
+        ids.push_back(id);
+        readers.push_back(connection->check_reading());
+    }
+    for (const std::size_t index : decide::select_slow_readers(readers, limits_))
+        drop(ids[index], decide::CloseReason::slow_reader);
+}
+
+void ClientSessions::close_if_over_limit(ClientId id) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end() && decide::exceeds_unsent_limit(found->second->unsent(), limits_))
+        drop(id, decide::CloseReason::slow_reader);
+}
+
+void ClientSessions::close_timed_out() {
     std::vector<ClientId> timed_out;
     for (const auto& [id, connection] : connections_) {
         const auto snapshot = connection->snapshot();
@@ -434,12 +470,10 @@
     if (found == connections_.end())
         return;
     Connection& connection = *found->second;
-    const auto unsent = connection.respond(sequence, std::move(frame));
-    if (!unsent)
+    if (!connection.respond(sequence, std::move(frame)))
         return;
-    if (*unsent > limits_.unsent_bytes)
-        return drop(id, decide::CloseReason::slow_reader);
     connection.close_if_answered();
+    close_if_over_limit(id);
 }
 
 // ---- Graceful shutdown
--- a/src/node/client_sessions.hpp
+++ b/src/node/client_sessions.hpp
@@ -20,6 +20,7 @@
 #include "decide/client_sequence_numbers.hpp"
 #include "decide/close_guard.hpp"
 #include "decide/resource_limits.hpp"
+#include "decide/slow_reader.hpp"
 #include "net/loop.hpp"
 #include "node/fault_injection.hpp"
 #include "thrift/service.hpp"
@@ -109,7 +110,10 @@
     void close_if_idle(ClientId id, decide::CloseReason reason);
     void drop(ClientId id, decide::CloseReason reason);
     std::optional<decide::ClosePermit> permit_close(const Connection& connection, decide::CloseReason reason);
+    void sweep();
     void close_timed_out();
+    void close_slow_readers();
+    void close_if_over_limit(ClientId id);
 
     net::Loop& loop_;
     decide::ResourceLimits limits_;
--- a/tests/node/raw_socket.hpp
+++ b/tests/node/raw_socket.hpp
@@ -54,6 +54,11 @@
     void send(std::string_view bytes) {
         EXPECT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
     }
+    // Sends what the kernel accepts, and returns how much that is.
+    std::size_t send_some(std::string_view bytes) {
+        const ssize_t n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        return n < 0 ? 0 : static_cast<std::size_t>(n);
+    }
     // Appends the available bytes to `received`. Returns false once the peer has closed the connection;
     // `reset` is then whether by a reset.
     bool read() {
