Connections to engines stay within their limit; a request waits for one

Cause: the limit on connections to all engines was asked only where another connection to the same engine could be used; an engine without one always opened it, and evictions for second connections made ever more engines do so, until no descriptor was left for clients.

node/connection_pool opens nothing beyond the limit, and closes idle connections for new ones, those of engines with another one first; node/exchange_queue holds the requests that wait, for the connect timeout at most.

--- a/src/node/endpoint_registry.cpp
+++ b/src/node/endpoint_registry.cpp
@@ -31,15 +31,11 @@
       limits_(limits),
       deps_(deps),
       events_(std::move(events)),
+      pool_(loop),
       list_(deps.faults->accepts_restarted_serials()),
       wall_offset_(loop.wall() - loop.now()) {
     refresh_connection_limit();
     pool_.trace = deps_.trace;
-    pool_.evict_idle = [this] {
-        return std::any_of(engines_.begin(), engines_.end(), [](const auto& entry) {
-            return entry.second.connections && entry.second.connections->evict_idle_connection();
-        });
-    };
 }
 
 EndpointRegistry::~EndpointRegistry() {
@@ -47,7 +43,7 @@
 }
 
 void EndpointRegistry::refresh_connection_limit() {
-    pool_.max_connections = limits_.engine_connections;
+    pool_.set_max_connections(limits_.engine_connections);
 }
 
 // ---- Updates of the endpoint list
--- a/src/node/engine_connection.cpp
+++ b/src/node/engine_connection.cpp
@@ -43,14 +43,15 @@
       connection_number_(++pool.opened),
       opened_at_(loop.now()),
       last_used_at_(opened_at_) {
-    ++pool_.open_connections;
+    pool_.on_opened();
+    pool_.on_idle(*this);
     stream_ = loop_.connect(address, *this, connect_timeout);
 }
 
 EngineConnection::~EngineConnection() {
     if (pool_.trace)
         trace("closed with " + std::to_string(unsent_bytes()) + " bytes unsent");
-    --pool_.open_connections;
+    pool_.on_ended(*this);
 }
 
 std::string EngineConnection::name() const {
@@ -91,6 +92,8 @@
 
 void EngineConnection::enqueue(Exchange& exchange, const Exchange::Request& request) {
     exchange.connection_ = this;
+    if (open_.empty())
+        pool_.on_busy(*this);
     open_.emplace(exchange.id_, &exchange);
     sent_ids_.insert(exchange.id_);
     std::string bytes = encode(exchange.id_, request);
@@ -340,6 +343,9 @@
     std::erase(unsent_, &exchange);
     exchange.connection_ = nullptr;
     last_used_at_ = loop_.now();
+    owner_.on_request_ended();  // first, as the pool may close an idle connection for another engine
+    if (open_.empty())
+        pool_.on_idle(*this);
 }
 
 void EngineConnection::detach_all() {
--- a/src/node/engine_connection.hpp
+++ b/src/node/engine_connection.hpp
@@ -7,7 +7,6 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -17,31 +16,12 @@
 #include "decide/connection_choice.hpp"
 #include "decide/engine_exchange.hpp"
 #include "net/loop.hpp"
+#include "node/connection_pool.hpp"
 #include "node/engine_response.hpp"
 #include "node/exchange.hpp"
 
 namespace gatetiller::node {
 
-// State shared by the connections to all engines: their limit and their counters.
-struct ConnectionPool {
-    std::size_t max_connections = 64;
-    std::size_t open_connections = 0;
-    // Closes an idle connection to any engine; returns false if none is idle. May be absent.
-    std::function<bool()> evict_idle;
-    // Logs the start and the end of each connection. May be absent.
-    std::function<void(const std::string&)> trace;
-
-    // Counters since the start.
-    std::uint64_t opened = 0;
-    std::uint64_t refused = 0;              // refused, unreachable or not established in time
-    std::uint64_t broken = 0;               // ended after they were established
-    std::uint64_t malformed_responses = 0;  // each ends its connection
-    std::uint64_t unsolicited = 0;          // responses that match no open request
-    std::uint64_t local_failures = 0;  // this machine had no descriptor, port or the like for a connection
-    std::uint64_t rewritten = 0;       // requests re-encoded before sending, with their current time left
-    std::uint64_t discarded = 0;       // connections reset because the kernel held cancelled requests
-};
-
 class EngineConnection;
 
 class EngineConnectionOwner {
@@ -49,9 +29,13 @@
     virtual ~EngineConnectionOwner() = default;
     // The connection has ended or is no longer usable. It may be destroyed in this call.
     virtual void release(EngineConnection& connection) = 0;
+    // A request on the connection has ended, so that it may take another one.
+    virtual void on_request_ended() = 0;
+    // Returns the number of connections to the engine.
+    virtual std::size_t size() const = 0;
 };
 
-class EngineConnection final : public net::StreamEvents {
+class EngineConnection final : public net::StreamEvents, public PooledConnection {
 public:
     // Starts connecting; `connect_timeout` is in microseconds. The loop, the pool and the owner must outlive
     // the connection.
@@ -75,6 +59,14 @@
     // Removes all open requests without notifying anyone.
     void detach_all();
 
+    // PooledConnection
+    bool has_sibling() const override {
+        return owner_.size() > 1;
+    }
+    void close_idle() override {
+        owner_.release(*this);
+    }
+
     // The operations of Exchange of the same names, for an exchange that is open on this connection.
     void set_priority(Exchange& exchange, int level);
     bool withdraw_unsent(Exchange& exchange);
--- a/src/node/engine_connections.cpp
+++ b/src/node/engine_connections.cpp
@@ -6,9 +6,17 @@
 
 EngineConnections::EngineConnections(net::Loop& loop, net::Address address, decide::ConnectionLimits limits,
                                      ConnectionPool& pool)
-    : loop_(loop), address_(std::move(address)), limits_(limits), pool_(pool) {}
+    : loop_(loop),
+      address_(std::move(address)),
+      limits_(limits),
+      pool_(pool),
+      queue_(loop, limits.connect_timeout, [&pool] {
+          ++pool.wait_timeouts;
+      }) {}
 
 EngineConnections::~EngineConnections() {
+    loop_.cancel(assign_timer_);
+    pool_.cancel_wait(*this);
     for (const auto& connection : connections_)
         connection->detach_all();
 }
@@ -16,6 +24,7 @@
 void EngineConnections::end_all(const char* reason) {
     while (!connections_.empty())
         connections_.front()->abort(reason);
+    queue_.end_all(reason);
 }
 
 void EngineConnections::end_unacknowledged(const char* reason) {
@@ -34,41 +43,97 @@
 }
 
 std::size_t EngineConnections::requests_in_flight() const {
-    std::size_t requests = 0;
+    std::size_t requests = queue_.size();
     for (const auto& connection : connections_)
         requests += connection->open_requests();
     return requests;
 }
 
-EngineConnection& EngineConnections::select_connection(const std::string& id) {
+// ---- The connection of a request
+
+std::unique_ptr<Exchange> EngineConnections::send_request(const decide::AttemptPermit&, const std::string& id,
+                                                          Exchange::Events& events) {
+    const auto request = events.current_request();
+    if (!request)
+        return nullptr;
+    std::unique_ptr<Exchange> exchange(new Exchange(id, events));
+    if (EngineConnection* const connection = find_or_open(id))
+        connection->enqueue(*exchange, *request);
+    else
+        wait_for_connection(*exchange);
+    return exchange;
+}
+
+decide::ConnectionChoice EngineConnections::choose(const std::string& id) const {
     std::vector<decide::ConnectionSnapshot> snapshots;
     snapshots.reserve(connections_.size());
     for (const auto& connection : connections_)
         snapshots.push_back(connection->snapshot(id));
-    const auto choice = decide::choose_connection(snapshots, loop_.now(), limits_);
-    const auto has_capacity = [this] {
-        return pool_.open_connections < pool_.max_connections || (pool_.evict_idle && pool_.evict_idle());
-    };
-    if (choice.reuse) {
-        // has_capacity() may evict an idle connection, which changes the indices.
-        EngineConnection* const reused = connections_[*choice.reuse].get();
-        if (!choice.open_if_capacity || !has_capacity())
-            return *reused;
-    }
+    return decide::choose_connection(snapshots, loop_.now(), limits_);
+}
+
+// Returns null if no connection is usable and none may be opened now.
+EngineConnection* EngineConnections::find_or_open(const std::string& id) {
+    const auto choice = choose(id);
+    if (!choice.reuse)
+        return pool_.make_room(ConnectionPool::Eviction::any) ? &open_connection() : nullptr;
+    // make_room() may close an idle connection, which changes the indices.
+    EngineConnection* const reused = connections_[*choice.reuse].get();
+    if (!choice.open_if_capacity || !pool_.make_room(ConnectionPool::Eviction::spare))
+        return reused;
+    return &open_connection();
+}
+
+EngineConnection& EngineConnections::open_connection() {
     EngineConnectionOwner& owner = *this;
     connections_.push_back(
         std::make_unique<EngineConnection>(loop_, address_, limits_.connect_timeout, pool_, owner));
     return *connections_.back();
 }
 
-std::unique_ptr<Exchange> EngineConnections::send_request(const decide::AttemptPermit&, const std::string& id,
-                                                          Exchange::Events& events) {
-    const auto request = events.current_request();
-    if (!request)
-        return nullptr;
-    std::unique_ptr<Exchange> exchange(new Exchange(id, events));
-    select_connection(id).enqueue(*exchange, *request);
-    return exchange;
+void EngineConnections::wait_for_connection(Exchange& exchange) {
+    ++pool_.waited;
+    queue_.add(exchange);
+    pool_.wait(*this);
+}
+
+void EngineConnections::on_capacity() {
+    if (queue_.empty())
+        return;
+    open_connection();
+    assign_waiting();
+}
+
+// Assigned in a later turn, as the caller is in the middle of a change of its connection.
+void EngineConnections::on_request_ended() {
+    if (queue_.empty() || assign_timer_ != 0)
+        return;
+    assign_timer_ = loop_.after(0, [this] {
+        assign_timer_ = 0;
+        assign_waiting();
+    });
+}
+
+// Sends the waiting requests on usable connections. Those for which none is usable go on waiting.
+void EngineConnections::assign_waiting() {
+    std::vector<Exchange*> not_needed;
+    for (Exchange* const exchange : std::vector(queue_.waiting())) {
+        const auto choice = choose(exchange->id_);
+        if (!choice.reuse)
+            continue;
+        if (const auto request = exchange->events_.current_request()) {
+            queue_.remove(*exchange);
+            connections_[*choice.reuse]->enqueue(*exchange, *request);
+        } else {
+            not_needed.push_back(exchange);
+        }
+    }
+    if (queue_.size() > not_needed.size())
+        pool_.wait(*this);
+    else
+        pool_.cancel_wait(*this);
+    for (Exchange* const exchange : not_needed)
+        queue_.end(exchange, "the request waited for a connection until it was no longer needed");
 }
 
 void EngineConnections::release(EngineConnection& connection) {
@@ -87,14 +152,4 @@
     });
 }
 
-bool EngineConnections::evict_idle_connection() {
-    const auto idle = std::find_if(connections_.begin(), connections_.end(), [](const auto& connection) {
-        return connection->open_requests() == 0;
-    });
-    if (idle == connections_.end())
-        return false;
-    connections_.erase(idle);
-    return true;
-}
-
 }  // namespace gatetiller::node
--- a/src/node/engine_connections.hpp
+++ b/src/node/engine_connections.hpp
@@ -1,4 +1,6 @@
-// The connections to one engine. The connection for each request is chosen by decide/connection_choice.hpp.
+// The connections to one engine. The connection for each request is chosen by decide/connection_choice.hpp. A
+// request for which there is none waits until the pool has room for one more, or until a request on one of
+// the others ends.
 #pragma once
 
 #include <memory>
@@ -10,10 +12,11 @@
 #include "net/loop.hpp"
 #include "node/engine_connection.hpp"
 #include "node/exchange.hpp"
+#include "node/exchange_queue.hpp"
 
 namespace gatetiller::node {
 
-class EngineConnections final : private EngineConnectionOwner {
+class EngineConnections final : private EngineConnectionOwner, private ConnectionWaiter {
 public:
     // The loop and the pool must outlive the connections.
     EngineConnections(net::Loop& loop, net::Address address, decide::ConnectionLimits limits,
@@ -32,24 +35,34 @@
     // call. Returns null if `events` no longer has a request to send.
     std::unique_ptr<Exchange> send_request(const decide::AttemptPermit& permit, const std::string& id,
                                            Exchange::Events& events);
-    std::size_t size() const {
+    std::size_t size() const override {
         return connections_.size();
     }
+    // Includes the requests that wait for a connection.
     std::size_t requests_in_flight() const;
     // Closes connections that have been idle for nearly the engine's idle timeout.
     void close_expiring_idle();
-    // Closes one idle connection, so that one to another engine may be opened. Returns false if none is idle.
-    bool evict_idle_connection();
 
 private:
+    // EngineConnectionOwner
     void release(EngineConnection& connection) override;
-    EngineConnection& select_connection(const std::string& id);
+    void on_request_ended() override;
+    // ConnectionWaiter
+    void on_capacity() override;
+
+    decide::ConnectionChoice choose(const std::string& id) const;
+    EngineConnection* find_or_open(const std::string& id);
+    EngineConnection& open_connection();
+    void wait_for_connection(Exchange& exchange);
+    void assign_waiting();
 
     net::Loop& loop_;
     net::Address address_;
     decide::ConnectionLimits limits_;
     ConnectionPool& pool_;
     std::vector<std::unique_ptr<EngineConnection>> connections_;
+    ExchangeQueue queue_;
+    net::TimerId assign_timer_ = 0;
 };
 
 }  // namespace gatetiller::node
--- a/src/node/exchange.cpp
+++ b/src/node/exchange.cpp
@@ -1,10 +1,13 @@
 #include "node/exchange.hpp"
 
 #include "node/engine_connection.hpp"
+#include "node/exchange_queue.hpp"
 
 namespace gatetiller::node {
 
 Exchange::~Exchange() {
+    if (queue_)
+        queue_->remove(*this);
     if (connection_ && !reset_partial())
         connection_->cancel(*this);
 }
@@ -15,6 +18,10 @@
 }
 
 bool Exchange::withdraw_unsent() {
+    if (queue_) {
+        queue_->remove(*this);
+        return true;
+    }
     return connection_ && connection_->withdraw_unsent(*this);
 }
 
@@ -27,6 +34,8 @@
 }
 
 std::string Exchange::describe() const {
+    if (queue_)
+        return "waiting for a connection";
     return connection_ ? connection_->describe(*this) : "over";
 }
 
--- a/src/node/exchange.hpp
+++ b/src/node/exchange.hpp
@@ -16,6 +16,7 @@
 namespace gatetiller::node {
 
 class EngineConnection;
+class ExchangeQueue;
 
 // Destroying an exchange that has not ended cancels the request at the engine.
 class Exchange {
@@ -63,11 +64,14 @@
 private:
     friend class EngineConnection;
     friend class EngineConnections;
+    friend class ExchangeQueue;
     Exchange(std::string id, Events& events) : id_(std::move(id)), events_(events) {}
 
     std::string id_;
     Events& events_;
-    EngineConnection* connection_ = nullptr;  // null: the exchange has ended
+    EngineConnection* connection_ = nullptr;  // null: the exchange waits for a connection, or has ended
+    ExchangeQueue* queue_ = nullptr;          // in which it waits for a connection; null: it does not wait
+    net::TimerId wait_timer_ = 0;             // limit on that wait
     net::SendId request_send_id_ = 0;         // identifies the request's bytes in the stream
     std::size_t request_bytes_ = 0;           // size of the encoded request
     std::size_t end_offset_ = 0;              // offset of its end in all bytes passed to the stream
--- a/src/node/status_report.cpp
+++ b/src/node/status_report.cpp
@@ -63,7 +63,10 @@
            counter_text("local_failures", pool.local_failures) + counter_text("rewritten", pool.rewritten) +
            counter_text("broken", pool.broken) +
            counter_text("malformed_responses", pool.malformed_responses) +
-           counter_text("discarded", pool.discarded) + counter_text("unsolicited", pool.unsolicited);
+           counter_text("discarded", pool.discarded) + counter_text("unsolicited", pool.unsolicited) +
+           counter_text("idle_connections_closed", pool.evicted) +
+           counter_text("waited_for_connection", pool.waited) +
+           counter_text("connection_wait_timeouts", pool.wait_timeouts);
 }
 
 }  // namespace
@@ -80,7 +83,7 @@
            " attempts=" + sources.attempts.counters_text() + pool_text(sources.endpoints.pool()) +
            counter_text("bad_lists", sources.bad_lists) +
            (sources.log_lines_lost ? counter_text("log_lost", *sources.log_lines_lost) : "") +
-           counter_text("connections", sources.endpoints.pool().open_connections) +
+           counter_text("connections", sources.endpoints.pool().open_connections()) +
            counter_text("attempts_in_flight", in_flight) + counter_text("timers", sources.timers) +
            " violations=" + sources.violations.text();
 }
--- a/tests/node/engine_connections_test.cpp
+++ b/tests/node/engine_connections_test.cpp
@@ -9,6 +9,7 @@
 #include "base/loop_clocks.hpp"
 #include "net/poll_loop.hpp"
 #include "raw_socket.hpp"
+#include "recorded_exchange.hpp"
 #include "resp/resp.hpp"
 
 namespace gatetiller::testing {
@@ -16,35 +17,6 @@
 
 using Status = decide::ExchangeResult::Status;
 
-struct RecordedEvents final : node::Exchange::Events {
-    void on_progress(ProgressKind, double) override {}
-    void on_end(decide::ExchangeResult e) override {
-        status = e.status, detail = e.detail;
-    }
-    std::string detail;
-    std::optional<node::Exchange::Request> current_request() override {
-        return node::Exchange::Request{"-", body};
-    }
-    bool may_begin(std::uint64_t) override {
-        return allowed;
-    }
-    bool allowed = true;
-    std::optional<Status> status;
-    std::string body = std::string(40'000, 'x');
-};
-
-// Returns the guard's permit for a first attempt at a listed engine.
-decide::AttemptPermit permit() {
-    static const PolicySettings settings = [] {
-        PolicySettings s;
-        s.max_attempts = 1;
-        return s;
-    }();
-    decide::AttemptContext facts;
-    facts.time_left = kSecondMicros, facts.target.listed = true;
-    return *decide::AttemptGuard(settings).permit(facts, ClassSettings{}, std::nullopt);
-}
-
 // Many large requests on one connection to an engine that reads nothing: the first are in the kernel's
 // buffer, the last wait behind them. The connection's clock stands still unless a test moves it: on a busy
 // machine a real one passes the limit on partly sent requests before the engine has read them all.
@@ -54,7 +26,7 @@
         raw.shrink_receive_buffer();
         const auto address = raw.listen(16);
         decide::ConnectionLimits limits{.max_connections = 1, .max_streams = 10'000};
-        pool.max_connections = 1;
+        pool.set_max_connections(1);
         connections = std::make_unique<node::EngineConnections>(clock, address, limits, pool);
         for (int i = 0; i < 300; ++i) {
             events.push_back(std::make_unique<RecordedEvents>());
@@ -73,7 +45,7 @@
     LoopWithManualClock clock{loop};
     RawSocket raw;
     std::unique_ptr<RawSocket> peer;
-    node::ConnectionPool pool;
+    node::ConnectionPool pool{loop};
     std::vector<std::unique_ptr<RecordedEvents>> events;
     std::vector<std::unique_ptr<node::Exchange>> exchanges;
     std::unique_ptr<node::EngineConnections> connections;
@@ -141,7 +113,7 @@
 TEST(EngineConnectionsTest, DoesNotSendRequestThatMayNoLongerBeginOnceConnected) {
     net::PollLoop loop;
     RawSocket raw;
-    node::ConnectionPool pool;
+    node::ConnectionPool pool{loop};
     node::EngineConnections connections(loop, raw.listen(16), {.max_connections = 1, .max_streams = 10},
                                         pool);
     RecordedEvents first, second;
@@ -252,7 +224,7 @@
     }
     net::PollLoop loop;
     RawSocket raw;
-    node::ConnectionPool pool;
+    node::ConnectionPool pool{loop};
     RecordedEvents events;
     std::unique_ptr<node::EngineConnections> connections;
     std::unique_ptr<node::Exchange> exchange;
