--- a/tests/lab/checker_test.cpp
+++ b/tests/lab/checker_test.cpp
@@ -369,6 +369,24 @@
     EXPECT_TRUE(p.rules().empty());
 }
 
+// Guards against taking two attempts for simultaneous when their sockets were read in the other order
+// (KNOWN-RED, soak seed 940).
+TEST(PeersChecker, AnAttemptCancelledBeforeTheOtherMayArriveAfterIt) {
+    const auto broken = [](Micros arrives_ms, Micros ends_ms, const char* end) {
+        Peers p;
+        p.asked();
+        p.engine(100, "e1", "arrived"), p.engine(arrives_ms, "e2", "arrived"), p.engine(ends_ms, "e2", end),
+            p.engine(300, "e1", "hit"), p.client(310, "final", "safe", "served");
+        return p.rules();
+    };
+    EXPECT_EQ(broken(101, 101, "undone"), std::vector<int>{});
+    EXPECT_EQ(broken(140, 150, "connection_ended"), std::vector<int>{});
+    // Sent after the first had begun: called off too late for the other order.
+    EXPECT_EQ(broken(101, 151, "undone"), std::vector<int>{0});
+    // Its answer shows that it was not cancelled.
+    EXPECT_EQ(broken(101, 110, "hit"), std::vector<int>{0});
+}
+
 TEST(PeersChecker, FindsWhatWasDoctored) {
     const auto broken = [](const std::string& cls, const std::function<void(Peers&)>& doctor) {
         Peers p;
