A quarter of the connections to engines is kept for engines that have none

Need: with the limit kept strictly, a few engines that hang could hold all connections with further ones of their own, and requests for every other engine would wait for one in vain.

Further connections to an engine are opened up to three quarters of the limit; beyond that one only takes the place of an idle spare, and requests share otherwise. ConnectionPoolTest.AnEngineThatDoesNotAnswerLeavesRoomForOthers fails without it.

--- a/src/node/connection_pool.cpp
+++ b/src/node/connection_pool.cpp
@@ -3,33 +3,57 @@
 #include <algorithm>
 
 namespace gatetiller::node {
+namespace {
+
+// This part of the limit is kept for engines without a connection.
+constexpr std::size_t kShareDivisorForFirst = 4;
+
+}  // namespace
 
 void ConnectionPool::set_max_connections(std::size_t max_connections) {
     max_connections_ = max_connections;
     schedule_serving();
 }
 
-bool ConnectionPool::make_room(Eviction eviction) {
-    return waiting_.empty() && (open_connections_ < max_connections_ || evict(eviction));
+bool ConnectionPool::make_room(Purpose purpose) {
+    if (!waiting_.empty())
+        return false;
+    return purpose == Purpose::first ? make_room_for_first() : make_room_for_further();
 }
 
-// Returns whether there is room for one more connection. The limit may have been lowered below the number of
-// connections: then more than one has to end.
-bool ConnectionPool::evict(Eviction eviction) {
+// The limit may have been lowered below the number of connections: then more than one has to end.
+bool ConnectionPool::make_room_for_first() {
     while (open_connections_ >= max_connections_) {
-        auto chosen = std::find_if(idle_.begin(), idle_.end(), [](const PooledConnection* connection) {
-            return connection->has_sibling();
-        });
-        if (chosen == idle_.end() && eviction == Eviction::any)
-            chosen = idle_.begin();
+        const auto spare = find_idle_spare();
+        const auto chosen = spare != idle_.end() ? spare : idle_.begin();
         if (chosen == idle_.end())
             return false;
-        ++evicted;
-        (*chosen)->close_idle();
+        evict(chosen);
     }
     return true;
 }
 
+bool ConnectionPool::make_room_for_further() {
+    if (open_connections_ < max_connections_ - max_connections_ / kShareDivisorForFirst)
+        return true;
+    const auto spare = find_idle_spare();
+    if (open_connections_ > max_connections_ || spare == idle_.end())
+        return false;
+    evict(spare);
+    return true;
+}
+
+std::list<PooledConnection*>::iterator ConnectionPool::find_idle_spare() {
+    return std::find_if(idle_.begin(), idle_.end(), [](const PooledConnection* connection) {
+        return connection->has_sibling();
+    });
+}
+
+void ConnectionPool::evict(std::list<PooledConnection*>::iterator idle) {
+    ++evicted;
+    (*idle)->close_idle();
+}
+
 void ConnectionPool::wait(ConnectionWaiter& waiter) {
     if (std::find(waiting_.begin(), waiting_.end(), &waiter) == waiting_.end())
         waiting_.push_back(&waiter);
@@ -66,7 +90,7 @@
 }
 
 void ConnectionPool::serve() {
-    while (!waiting_.empty() && evict(Eviction::any)) {
+    while (!waiting_.empty() && make_room_for_first()) {
         ConnectionWaiter& waiter = *waiting_.front();
         waiting_.pop_front();
         waiter.on_capacity();
--- a/src/node/connection_pool.hpp
+++ b/src/node/connection_pool.hpp
@@ -3,7 +3,8 @@
 // Invariant: no connection is opened beyond the limit, so that descriptors remain for clients. At the limit
 // an idle connection is closed for a new one: first that of an engine with another connection, then of any,
 // each time the one idle for longest. Where none is idle, engines wait in a queue until a connection becomes
-// idle or ends.
+// idle or ends. A part of the limit is kept for engines without a connection, so that a few that hang do not
+// take all.
 #pragma once
 
 #include <cstddef>
@@ -37,10 +38,10 @@
 
 class ConnectionPool {
 public:
-    // Which idle connections may be closed to make room for a new one.
-    enum class Eviction {
-        spare,  // those of engines that have another connection
-        any,
+    // What a new connection is for.
+    enum class Purpose {
+        first,    // the engine has no usable connection
+        further,  // its requests could share one
     };
 
     // The loop must outlive the pool, and the pool all connections and waiters.
@@ -54,7 +55,7 @@
     void set_max_connections(std::size_t max_connections);
     // Makes room for one more connection, if necessary by closing an idle one. Returns false if there is
     // none, or if engines already wait for it.
-    bool make_room(Eviction eviction);
+    bool make_room(Purpose purpose);
     // Puts the engine at the end of the queue for a connection, unless it waits already.
     void wait(ConnectionWaiter& waiter);
     void cancel_wait(ConnectionWaiter& waiter);
@@ -89,7 +90,10 @@
     std::uint64_t wait_timeouts = 0;   // of these, the ones that got none in time
 
 private:
-    bool evict(Eviction eviction);
+    bool make_room_for_first();
+    bool make_room_for_further();
+    std::list<PooledConnection*>::iterator find_idle_spare();
+    void evict(std::list<PooledConnection*>::iterator idle);
     void schedule_serving();
     void serve();
 
--- a/src/node/engine_connections.cpp
+++ b/src/node/engine_connections.cpp
@@ -76,10 +76,10 @@
 EngineConnection* EngineConnections::find_or_open(const std::string& id) {
     const auto choice = choose(id);
     if (!choice.reuse)
-        return pool_.make_room(ConnectionPool::Eviction::any) ? &open_connection() : nullptr;
+        return pool_.make_room(ConnectionPool::Purpose::first) ? &open_connection() : nullptr;
     // make_room() may close an idle connection, which changes the indices.
     EngineConnection* const reused = connections_[*choice.reuse].get();
-    if (!choice.open_if_capacity || !pool_.make_room(ConnectionPool::Eviction::spare))
+    if (!choice.open_if_capacity || !pool_.make_room(ConnectionPool::Purpose::further))
         return reused;
     return &open_connection();
 }
--- a/tests/node/connection_pool_test.cpp
+++ b/tests/node/connection_pool_test.cpp
@@ -155,6 +155,17 @@
     EXPECT_EQ(first.connections.size(), 1u);
 }
 
+// Guards against a few engines that hang and take all connections, so that no other engine can be reached.
+TEST_F(ConnectionPoolTest, AnEngineThatDoesNotAnswerLeavesRoomForOthers) {
+    pool.set_max_connections(8);
+    Engine &silent = add_engine(), &other = add_engine();
+    for (int i = 0; i < 8; ++i)
+        send_and_await_arrival(silent, "silent-" + std::to_string(i) + ".");
+    EXPECT_EQ(silent.connections.size(), 6u);
+    send_and_await_arrival(other, "id-1.");
+    EXPECT_EQ(pool.waited, 0u);
+}
+
 TEST_F(ConnectionPoolTest, AWaitingRequestIsSentOnItsEnginesConnectionOnceThatIsUsable) {
     pool.set_max_connections(1);
     limits.max_streams = 1;
