Waiting requests are counted in one place; a result's size has one constant

Found on a second reading, no change of behaviour. ExchangeQueue counts in the pool itself, in place of a callback for one of two counters. A test's two copies of "await, then answer" are one.

--- a/src/decide/resource_limits.cpp
+++ b/src/decide/resource_limits.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "decide/client_sequence_numbers.hpp"
+#include "decide/engine_exchange.hpp"
 
 namespace gatetiller::decide {
 namespace {
@@ -13,8 +14,9 @@
 constexpr std::size_t kMinRequests = 64;
 constexpr std::size_t kMaxRequests = 20'000;
 constexpr std::size_t kMinUnsentBytes = std::size_t{64} * 1024;
-// The largest response that the platform allows, with its headers.
-constexpr std::size_t kMaxResponseBytes = 49'152;
+// What a response has besides the rows of its result.
+constexpr std::size_t kResponseHeadBytes = 1'152;
+constexpr std::size_t kMaxResponseBytes = ResultPages::kMaxResultBytes + kResponseHeadBytes;
 constexpr std::size_t kMinMaxUnsentBytes = ClientSequenceNumbers::kMaxOpen * kMaxResponseBytes;
 constexpr std::size_t kBytesPerMebibyte = 1 << 20;
 
--- a/src/decide/slow_reader.cpp
+++ b/src/decide/slow_reader.cpp
@@ -1,7 +1,6 @@
 #include "decide/slow_reader.hpp"
 
 #include <algorithm>
-#include <numeric>
 
 namespace gatetiller::decide {
 namespace {
@@ -28,22 +27,22 @@
 
 std::vector<std::size_t> select_slow_readers(const std::vector<ReaderSnapshot>& clients,
                                              const ResourceLimits& limits) {
-    std::vector<std::size_t> by_size(clients.size());
-    std::iota(by_size.begin(), by_size.end(), std::size_t{0});
-    std::stable_sort(by_size.begin(), by_size.end(), [&](std::size_t left, std::size_t right) {
+    std::size_t total = 0;
+    std::vector<std::size_t> stalled;
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+        total += clients[i].unsent_bytes;
+        if (clients[i].stalled_checks >= kMaxStalledChecksUnderPressure)
+            stalled.push_back(i);
+    }
+    std::stable_sort(stalled.begin(), stalled.end(), [&](std::size_t left, std::size_t right) {
         return clients[left].unsent_bytes > clients[right].unsent_bytes;
     });
-    std::size_t total = 0;
-    for (const ReaderSnapshot& client : clients)
-        total += client.unsent_bytes;
     std::vector<std::size_t> selected;
-    for (const std::size_t index : by_size) {
+    for (const std::size_t index : stalled) {
         const ReaderSnapshot& client = clients[index];
         const bool over_share =
             client.unsent_bytes > limits.unsent_bytes && client.stalled_checks >= kMaxStalledChecks;
-        const bool under_pressure =
-            total > limits.total_unsent_bytes && client.stalled_checks >= kMaxStalledChecksUnderPressure;
-        if (!over_share && !under_pressure)
+        if (!over_share && total <= limits.total_unsent_bytes)
             continue;
         selected.push_back(index);
         total -= client.unsent_bytes;
--- a/src/node/engine_connections.cpp
+++ b/src/node/engine_connections.cpp
@@ -10,9 +10,7 @@
       address_(std::move(address)),
       limits_(limits),
       pool_(pool),
-      queue_(loop, limits.connect_timeout, [&pool] {
-          ++pool.wait_timeouts;
-      }) {}
+      queue_(loop, pool, limits.connect_timeout) {}
 
 EngineConnections::~EngineConnections() {
     loop_.cancel(assign_timer_);
@@ -92,7 +90,6 @@
 }
 
 void EngineConnections::wait_for_connection(Exchange& exchange) {
-    ++pool_.waited;
     queue_.add(exchange);
     pool_.wait(*this);
 }
--- a/src/node/exchange_queue.cpp
+++ b/src/node/exchange_queue.cpp
@@ -5,20 +5,18 @@
 
 namespace gatetiller::node {
 
-ExchangeQueue::ExchangeQueue(net::Loop& loop, Micros max_wait, std::function<void()> on_timeout)
-    : loop_(loop), max_wait_(max_wait), on_timeout_(std::move(on_timeout)) {}
-
 ExchangeQueue::~ExchangeQueue() {
     while (!waiting_.empty())
         remove(*waiting_.front());
 }
 
 void ExchangeQueue::add(Exchange& exchange) {
+    ++pool_.waited;
     exchange.queue_ = this;
     waiting_.push_back(&exchange);
     exchange.wait_timer_ = loop_.after(max_wait_, [this, &exchange] {
         exchange.wait_timer_ = 0;
-        on_timeout_();
+        ++pool_.wait_timeouts;
         end(&exchange, "no connection to the engine could be opened within the limit on connections in time");
     });
 }
--- a/src/node/exchange_queue.hpp
+++ b/src/node/exchange_queue.hpp
@@ -2,19 +2,20 @@
 #pragma once
 
 #include <cstddef>
-#include <functional>
 #include <vector>
 
 #include "net/loop.hpp"
+#include "node/connection_pool.hpp"
 #include "node/exchange.hpp"
 
 namespace gatetiller::node {
 
 class ExchangeQueue {
 public:
-    // `max_wait`: microseconds after which a request ends as not sent; `on_timeout` is called just before.
-    // The loop must outlive the queue.
-    ExchangeQueue(net::Loop& loop, Micros max_wait, std::function<void()> on_timeout);
+    // `max_wait`: microseconds after which a request ends as not sent. The pool counts the requests that
+    // wait. The loop and the pool must outlive the queue.
+    ExchangeQueue(net::Loop& loop, ConnectionPool& pool, Micros max_wait)
+        : loop_(loop), pool_(pool), max_wait_(max_wait) {}
     // Removes all requests without notifying their callers.
     ~ExchangeQueue();
     ExchangeQueue(const ExchangeQueue&) = delete;
@@ -39,8 +40,8 @@
 
 private:
     net::Loop& loop_;
+    ConnectionPool& pool_;
     Micros max_wait_;
-    std::function<void()> on_timeout_;
     std::vector<Exchange*> waiting_;
 };
 
--- a/tests/decide/slow_reader_test.cpp
+++ b/tests/decide/slow_reader_test.cpp
@@ -4,20 +4,20 @@
 #include <gtest/gtest.h>
 
 #include "decide/client_sequence_numbers.hpp"
+#include "decide/engine_exchange.hpp"
 
 namespace gatetiller::decide {
 namespace {
 
 constexpr std::size_t kMebibyte = 1 << 20;
-// The platform's limit on one result.
-constexpr std::size_t kMaxResultBytes = 48'000;
 
 const ResourceLimits kLimits = derive_limits(256, 32);
 
 TEST(SlowReader, ResponsesToAllOpenRequestsOfOneClientAreWithinItsLimit) {
     for (const std::int64_t memory_mb : {1, 4, 32, 512})
-        EXPECT_FALSE(exceeds_unsent_limit(ClientSequenceNumbers::kMaxOpen * (kMaxResultBytes + 256),
-                                          derive_limits(256, memory_mb)))
+        EXPECT_FALSE(
+            exceeds_unsent_limit(ClientSequenceNumbers::kMaxOpen * (ResultPages::kMaxResultBytes + 256),
+                                 derive_limits(256, memory_mb)))
             << memory_mb;
     EXPECT_TRUE(exceeds_unsent_limit(5 * kMebibyte, kLimits));
 }
--- a/tests/node/client_reading_test.cpp
+++ b/tests/node/client_reading_test.cpp
@@ -12,7 +12,7 @@
 namespace gatetiller::testing {
 namespace {
 
-constexpr int kMaxOpenRequests = 32;
+constexpr std::size_t kMaxOpenRequests = decide::ClientSequenceNumbers::kMaxOpen;
 // The platform's limit is 48,000 bytes.
 constexpr std::size_t kResultBytes = 47'520;
 
@@ -38,7 +38,7 @@
     // closed.
     void send_all_requests(RawSocket& client) {
         std::string calls;
-        for (int i = 0; i < kMaxOpenRequests; ++i)
+        for (std::size_t i = 0; i < kMaxOpenRequests; ++i)
             calls += thrift::process_call(++last_sequence, {{"route", "lookup"}}, "SELECT 1");
         client.send(calls);
         ASSERT_TRUE(await(loop, [&] {
--- a/tests/node/connection_pool_test.cpp
+++ b/tests/node/connection_pool_test.cpp
@@ -106,32 +106,30 @@
         add_engine();
     std::size_t most_open = 0;
     int sent = 0, answered = 0;
-    const auto answer_one = [&] {
-        const std::string id = "id-" + std::to_string(answered) + ".";
-        answer(*engines[static_cast<std::size_t>(answered % 12)], id);
-        ++answered;
+    const auto id_of = [](int number) {
+        return "id-" + std::to_string(number) + ".";
     };
-    for (int round = 0; round < 60; ++round) {
-        const std::string id = "id-" + std::to_string(sent) + ".";
-        send(*engines[static_cast<std::size_t>(sent % 12)], id);
-        ++sent;
-        most_open = std::max(most_open, pool.open_connections());
-        if (sent - answered < 6)
-            continue;
+    const auto engine_of = [&](int number) -> Engine& {
+        return *engines[static_cast<std::size_t>(number % 12)];
+    };
+    const auto answer_next = [&] {
         ASSERT_TRUE(await(loop, [&] {
             most_open = std::max(most_open, pool.open_connections());
-            return engines[static_cast<std::size_t>(answered % 12)]->find("id-" + std::to_string(answered) +
-                                                                          ".") != nullptr;
-        })) << answered;
-        answer_one();
-    }
-    while (answered < sent) {
-        ASSERT_TRUE(await(loop, [&] {
-            return engines[static_cast<std::size_t>(answered % 12)]->find("id-" + std::to_string(answered) +
-                                                                          ".") != nullptr;
+            return engine_of(answered).find(id_of(answered)) != nullptr;
         })) << answered;
-        answer_one();
+        answer(engine_of(answered), id_of(answered));
+        ++answered;
+    };
+    while (sent < 60) {
+        send(engine_of(sent), id_of(sent));
+        ++sent;
+        most_open = std::max(most_open, pool.open_connections());
+        if (sent - answered == 6) {
+            ASSERT_NO_FATAL_FAILURE(answer_next());
+        }
     }
+    while (answered < sent)
+        ASSERT_NO_FATAL_FAILURE(answer_next());
     EXPECT_LE(most_open, 4u);
     EXPECT_GT(pool.waited, 0u);
 }
