--- a/review/stand-ins-2/late_repeat.cpp
+++ b/review/stand-ins-2/late_repeat.cpp
@@ -38,6 +38,11 @@
         b.window_s = kWindow;
         b.note_period_s = 0.5;
         b.receive_buffer = 4096;
+        if (trouble)
+            b.on_done = [] {  // the time between the end of its work and its answer, in which it dies
+                if (shared()->key[0].applied == 1)
+                    sleep_s(1);
+            };
         engines.push_back(start_function([b] {
             run_engine(b);
         }));
@@ -65,23 +70,22 @@
                                       {"customer", "east"}, {"nonce", key}, {"weight", "1000.0"}, {"heap_mb", "96"}},
                                   statement));
     int first = -1;
-    while (first < 0 && wall() - sent < 5) {
+    while (wall() - sent < 5 && shared()->key[0].applied == 0) {
         for (int i = 0; i < kLoadEngines; ++i)
             if (shared()->begun[i] > 0)
                 first = i;
         sleep_s(0.01);
     }
-    if (first < 0)
-        finish(kCouldNotRun, "no engine began the load");
+    if (first < 0 || shared()->key[0].applied == 0)
+        finish(kCouldNotRun, "no engine applied the load");
     const int other = 1 - first;
     if (trouble) {
-        sleep_s(0.3);
         kill(engines[other], SIGSTOP);
         note("engine %d hangs (stopped), for %.0f s", other, kHang);
         const double hung_at = wall();
         sleep_s(0.2);
         kill(engines[first], SIGKILL);
-        note("engine %d dies in the middle of its work; it has applied the load", first);
+        note("engine %d dies; it has applied the load and not answered yet", first);
         sleep_s(1.5);
         shared()->listed[first] = 0;
         ++shared()->serial;
--- a/review/stand-ins-2/platform.hpp
+++ b/review/stand-ins-2/platform.hpp
@@ -260,30 +260,30 @@
     bool ended = false;
 };
 struct EngineJob {
-    std::string id, key;
+    std::string id;
+    int key;  // in the shared memory; -1: none, or a repeat
     int fd;
     double done_at, note_at, begun_at;
 };
 
-// Applies a keyed request unless the group still remembers its key. All engines of a group share that memory.
-inline bool apply_key(const std::string& key, double window_s, double& first_seen) {
+// Whether the group of all engines, which share this memory, still knows the key. A key that it does not know, or no
+// longer, is noted as seen now; `first_seen`: when it was seen before, 0 if never.
+inline bool is_repeat(const std::string& key, double window_s, double& first_seen, int& at) {
     Shared& s = *shared();
     const double now = wall();
-    for (int i = 0; i < s.keys; ++i) {
-        if (key != s.key[i].key)
+    for (at = 0; at < s.keys; ++at) {
+        if (key != s.key[at].key)
             continue;
-        first_seen = s.key[i].first_seen;
-        if (now - s.key[i].first_seen <= window_s)
-            return false;
-        if (++s.key[i].applied > 1)
-            ++s.applied_twice;
-        return true;
+        first_seen = s.key[at].first_seen;
+        if (now - first_seen <= window_s)
+            return true;
+        s.key[at].first_seen = now;
+        return false;
     }
-    const int at = s.keys++;
+    at = s.keys++;
     snprintf(s.key[at].key, sizeof s.key[at].key, "%s", key.c_str());
     s.key[at].first_seen = now;
-    s.key[at].applied = 1;
-    return true;
+    return false;
 }
 
 // Runs until it is killed. It reads all that has arrived, up to the end of a connection, before it begins a request, so
@@ -359,22 +359,17 @@
                 const std::string key = field(fields, "token");
                 double first_seen = 0;
                 ++shared()->begun[b.index];
-                if (key.empty()) {
-                    say("begins " + id + " " + fields);
-                } else if (apply_key(key, b.window_s, first_seen)) {
-                    if (first_seen > 0) {
-                        ++shared()->late_arrivals;
-                        char text[200];
-                        snprintf(text, sizeof text, "APPLIES key %s AGAIN, %.3f s after it was first seen, window %.0f s: ",
-                                 key.c_str(), wall() - first_seen, b.window_s);
-                        say(text + id + " " + fields);
-                    } else {
-                        say("applies key " + key + ": " + id + " " + fields);
-                    }
-                } else {
-                    say("drops a repeat of key " + key + ": " + id + " " + fields);
+                int at_key = -1;
+                char text[200] = "";
+                if (!key.empty() && is_repeat(key, b.window_s, first_seen, at_key)) {
+                    at_key = -1;
+                    snprintf(text, sizeof text, ", a repeat of its key: it is dropped");
+                } else if (first_seen > 0) {
+                    ++shared()->late_arrivals;
+                    snprintf(text, sizeof text, ", WHOSE KEY WAS SEEN %.3f s AGO, window %.0f s", wall() - first_seen, b.window_s);
                 }
-                jobs.push_back({id, key, fd, wall() + b.work_s, wall() + b.note_period_s, wall()});
+                say("has read the whole of " + id + " " + fields + text);
+                jobs.push_back({id, at_key, fd, wall() + b.work_s, wall() + b.note_period_s, wall()});
             }
         }
         for (auto it = conns.begin(); it != conns.end();) {
@@ -391,6 +386,12 @@
         const double now = wall();
         for (EngineJob& job : jobs) {
             if (job.done_at <= now) {
+                if (job.key >= 0) {
+                    const int times = ++shared()->key[job.key].applied;
+                    if (times > 1)
+                        ++shared()->applied_twice;
+                    say("has applied " + job.id + (times > 1 ? ": the effect has happened AGAIN" : ""));
+                }
                 b.on_done();
                 say("answers HIT to " + job.id);
                 send_all(job.fd, resp({job.id, "HIT", "chunks=1,gauges=concurrent:" + std::to_string(jobs.size()), b.rows}));
