--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: no SIGTERM.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: ordinary clients only.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-[ -x build-bench/gatetiller ] && [ -x build-review-2/cut_answer ] || { echo "not built"; exit 2; }
-exec build-review-2/cut_answer "$here/record.txt"
+[ -x build-bench/gatetiller ] && [ -x build-review-2/memory_limit ] || { echo "not built"; exit 2; }
+exec build-review-2/memory_limit "$here/record.txt"
--- a/review/stand-ins-2/memory_limit.cpp
+++ b/review/stand-ins-2/memory_limit.cpp
@@ -1,4 +1,4 @@
-// Case 9: some hundreds of bad clients take a front node over its memory limit, and the platform kills it.
+// Case 10: some hundreds of bad clients take a front node over its memory limit, and the platform kills it.
 #include <atomic>
 
 #include "platform.hpp"
