Review case 8: clients on slow lines that read all the time are closed as slow readers

Cause: reading is judged by bytes that the kernel accepts within 100 ms, which come in steps of over a second on a slow line.

--- a/review/stand-ins-2/late_repeat.cpp
+++ b/review/stand-ins-2/late_repeat.cpp
@@ -1,4 +1,4 @@
-// Case 8: the retry of a keyed request reaches its engine after the engines have forgotten the key.
+// Case 7: the retry of a keyed request reaches its engine after the engines have forgotten the key.
 #include "platform.hpp"
 
 using namespace review;
--- a/review/stand-ins-2/platform.hpp
+++ b/review/stand-ins-2/platform.hpp
@@ -250,7 +250,8 @@
     double window_s = 0;      // for which the group of all engines drops a repeat of a key
     double note_period_s = 1;
     int receive_buffer = 0;   // of its connections, in bytes; 0: the system's
-    std::string rows = "1\ta\tb\n";
+    std::string rows = "1\ta\tb\n";  // of one page
+    int pages = 1;
     // Called when the work of a request is done, before its answer.
     std::function<void()> on_done = [] {};
 };
@@ -349,6 +350,8 @@
             for (const auto& command : commands) {
                 if (command.size() == 2 && command[0] == "ping")
                     send_all(fd, resp({command[1], "PONG", "-", ""}));
+                if (command.size() == 3 && command[0] == "page")
+                    send_all(fd, resp({command[1], "PART", "at=" + command[2], b.rows}));
                 if (command.size() != 4 || command[0] != "do")
                     continue;
                 const std::string &id = command[1], &fields = command[2];
@@ -394,7 +397,9 @@
                 }
                 b.on_done();
                 say("answers HIT to " + job.id);
-                send_all(job.fd, resp({job.id, "HIT", "chunks=1,gauges=concurrent:" + std::to_string(jobs.size()), b.rows}));
+                send_all(job.fd, resp({job.id, "HIT",
+                                       "chunks=" + std::to_string(b.pages) + ",gauges=concurrent:" + std::to_string(jobs.size()),
+                                       b.rows}));
             } else if (job.note_at <= now) {
                 job.note_at += b.note_period_s;
                 const double share = (now - job.begun_at) / (job.done_at - job.begun_at);
--- a/review/stand-ins-2/reloaded_class.cpp
+++ b/review/stand-ins-2/reloaded_class.cpp
@@ -1,4 +1,4 @@
-// Case 7: a statement of a class that a new configuration adds is accepted and never answered.
+// Case 9: a statement of a class that a new configuration adds is accepted and never answered.
 #include "common.hpp"
 
 using namespace review;
