--- a/review/stand-ins-2/common.hpp
+++ b/review/stand-ins-2/common.hpp
@@ -202,6 +202,15 @@
     return "";
 }
 
+// The command that starts a sub-command of the program that the deploy file builds: its line `run` with other arguments.
+inline std::string program_command(const std::string& arguments) {
+    std::string run = deploy_line("run");
+    const std::string node = " node";
+    if (run.size() < node.size() || run.compare(run.size() - node.size(), node.size(), node) != 0)
+        finish(kCouldNotRun, "the line run of deploy/balancer.toml does not end in `node`");
+    return run.substr(0, run.size() - node.size()) + " " + arguments;
+}
+
 // ---- Sockets
 
 inline sockaddr_in loopback(int port) {
--- a/review/stand-ins-2/memory_limit.cpp
+++ b/review/stand-ins-2/memory_limit.cpp
@@ -56,7 +56,8 @@
         b.port = ports[2 + i];
         b.work_s = 0.05;
         start_function([b] {
-            freopen("/dev/null", "w", stdout);
+            if (!freopen("/dev/null", "w", stdout))
+                _exit(1);
             record_file() = nullptr;
             run_engine(b);
         });
--- a/review/stand-ins-2/reloaded_class.cpp
+++ b/review/stand-ins-2/reloaded_class.cpp
@@ -76,14 +76,14 @@
         write_file(base + ".jsonnet",
                    "{ name: 'node-" + std::to_string(i + 1) + "', listen: '127.0.0.1:" + std::to_string(engines[i]) +
                        "', machine: { cores: 8, memory: '16GiB', priorities: true, when_short: 'swap' } }\n");
-        start_command("exec build-bench/gatetiller engine --config " + base + ".jsonnet", base + ".log");
+        start_command(program_command("engine --config " + base + ".jsonnet"), base + ".log");
     }
     for (const int port : engines)
         if (!wait_for_port(port, 10))
             finish(kCouldNotRun, "an engine did not start");
     const std::string config = folder() + "/front.jsonnet", log = folder() + "/front.log";
     write_file(config, front_config(ports[0], engines, false));
-    const pid_t front = start_command("exec build-bench/gatetiller serve --config " + config, log);
+    const pid_t front = start_command(program_command("serve --config " + config), log);
     if (!wait_for_port(ports[0], 10))
         finish(kCouldNotRun, "the front did not start");
     sleep_s(1.5);
@@ -91,7 +91,7 @@
         finish(kCouldNotRun, "the front did not serve before the new configuration");
     if (trouble) {
         write_file(config, front_config(ports[0], engines, true));
-        const int checked = system(("build-bench/gatetiller serve --check --config " + config + " >> " + log + " 2>&1").c_str());
+        const int checked = system((program_command("serve --check --config " + config) + " >> " + log + " 2>&1").c_str());
         note("operator: a new configuration adds class export and its route; --check ends with %d; SIGHUP", checked);
         if (checked != 0)
             finish(kCouldNotRun, "the new configuration is not valid");
@@ -105,8 +105,7 @@
     const bool alive = is_alive(front);
     std::istringstream lines(read_file(log));
     for (std::string line; std::getline(lines, line);)
-        if (line.find("reload") != std::string::npos || line.find("statement") != std::string::npos ||
-            line.find("fine") != std::string::npos)
+        if (line.find("reloaded") != std::string::npos || line.find(" statement ") != std::string::npos)
             note("front: %s", line.c_str());
     note("the front is %s", alive ? "running" : "NOT running");
     if (!other.final_answer)
--- a/review/stand-ins-2/wrong_rows.cpp
+++ b/review/stand-ins-2/wrong_rows.cpp
@@ -58,13 +58,13 @@
                    "{ name: 'node-" + std::to_string(i + 1) + "', listen: '127.0.0.1:" + std::to_string(engines[i]) +
                        "', journal: '" + base +
                        ".journal', machine: { cores: 8, memory: '16GiB', priorities: true, when_short: 'swap' } }\n");
-        start_command("exec build-bench/gatetiller engine --config " + base + ".jsonnet", base + ".log");
+        start_command(program_command("engine --config " + base + ".jsonnet"), base + ".log");
     }
     for (const int port : engines)
         if (!wait_for_port(port, 10))
             finish(kCouldNotRun, "an engine did not start");
     write_file(folder() + "/front.jsonnet", front_config(ports[0], engines));
-    start_command("exec build-bench/gatetiller serve --config " + folder() + "/front.jsonnet",
+    start_command(program_command("serve --config " + folder() + "/front.jsonnet"),
                   folder() + "/front.log");
     if (!wait_for_port(ports[0], 10))
         finish(kCouldNotRun, "the front did not start");
