Move a client connection of the node into files of its own

ClientSessions::Connection moves to client_connection.hpp and .cpp; nothing in it changes. The tests of tests/node pass.

--- /dev/null
+++ b/src/node/client_connection.cpp
@@ -0,0 +1,172 @@
+#include "node/client_connection.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gatetiller::node {
+namespace {
+
+constexpr std::size_t kMaxFrameBytes = 49'152;  // a statement, its fields and their headers
+constexpr int kCallsPerTurn = 32;               // from one connection, so that others get their turn
+
+}  // namespace
+
+ClientSessions::Connection::Connection(ClientSessions& sessions, ClientId id,
+                                       std::unique_ptr<net::Stream> stream)
+    : sessions_(sessions), id_(id), stream_(std::move(stream)) {
+    state_.connected_at = sessions.loop_.now();
+    state_.last_active_at = state_.connected_at;
+}
+
+void ClientSessions::Connection::start() {
+    stream_->events(*this);
+}
+
+void ClientSessions::Connection::on_data(Buffer& in) {
+    deferred_ = false;
+    unread_until_ = 0;
+    waiting_since_ = std::exchange(deferred_since_, 0);
+    auto reading = Reading::complete;
+    for (int calls = 0; reading == Reading::complete && !state_.closing && !malformed_; ++calls)
+        reading = read_message(in, calls);
+    if (reading == Reading::gone || reading == Reading::deferred)
+        return;
+    if (malformed_)
+        return in.consume(in.size());
+    if (state_.closing)
+        return;
+    if (in.empty())
+        state_.partial_request_since = 0;
+    else if (state_.partial_request_since == 0)
+        state_.partial_request_since = sessions_.loop_.now();
+}
+
+ClientSessions::Connection::Reading ClientSessions::Connection::read_message(Buffer& in, int calls) {
+    std::string_view frame;
+    const auto framing = thrift::next_frame(in, kMaxFrameBytes, frame);
+    if (framing == thrift::FrameStatus::incomplete)
+        return Reading::incomplete;
+    if (calls == kCallsPerTurn) {
+        state_.partial_request_since = 0;
+        deferred_ = true;
+        deferred_since_ = sessions_.loop_.now() - max_unread_wait();
+        stream_->schedule_delivery();
+        return Reading::deferred;
+    }
+    if (framing == thrift::FrameStatus::too_long) {
+        end_malformed(0, thrift::Fault::protocol,
+                      "a message of over " + std::to_string(kMaxFrameBytes) + " bytes");
+        return Reading::incomplete;
+    }
+    const std::weak_ptr<char> alive = alive_;
+    auto call = thrift::read_call(frame);
+    in.consume(thrift::kFrameHead + frame.size());
+    state_.last_active_at = sessions_.loop_.now();
+    if (call)
+        handle(std::move(*call));
+    else
+        end_malformed(0, thrift::Fault::protocol, call.error());
+    return alive.expired() ? Reading::gone : Reading::complete;
+}
+
+void ClientSessions::Connection::on_closed(net::Closed) {
+    sessions_.drop(id_, decide::CloseReason::peer_closed);
+}
+
+void ClientSessions::Connection::handle(thrift::Call call) {
+    using What = thrift::Call::What;
+    switch (call.what) {
+        case What::probe:
+            state_.has_sent_request = true;
+            queue(thrift::answer(call.method, call.seq, {}));
+            return sessions_.close_if_over_limit(id_);
+        case What::give_up:
+            if (sequence_numbers_.release(call.given_up))
+                sessions_.events_.on_cancelled(id_, call.given_up);
+            return;
+        case What::unknown:
+            queue(thrift::exception(call.method, call.seq, thrift::Fault::unknown_method,
+                                    "no such method: " + call.method));
+            return sessions_.close_if_over_limit(id_);
+        case What::process:
+            return handle_process(std::move(call));
+    }
+}
+
+void ClientSessions::Connection::handle_process(thrift::Call call) {
+    switch (sequence_numbers_.accept(call.seq)) {
+        case decide::ClientSequenceNumbers::Verdict::accepted:
+            break;
+        case decide::ClientSequenceNumbers::Verdict::not_increasing:
+            return end_malformed(call.seq, thrift::Fault::bad_sequence, "sequence numbers must climb");
+        case decide::ClientSequenceNumbers::Verdict::too_many_open:
+            return end_malformed(
+                call.seq, thrift::Fault::protocol,
+                "more than " + std::to_string(decide::ClientSequenceNumbers::kMaxOpen) + " open requests");
+    }
+    const Micros unread_wait = std::max(max_unread_wait(), state_.has_sent_request ? 0 : backlog_wait_);
+    state_.has_sent_request = true;
+    sessions_.events_.on_request(id_, std::move(call), unread_wait);
+}
+
+// Returns the maximum time for which the messages being read have waited on this machine.
+Micros ClientSessions::Connection::max_unread_wait() const {
+    const Micros deferred = waiting_since_ > 0 ? sessions_.loop_.now() - waiting_since_ : 0;
+    return std::max({sessions_.loop_.input_delay(), stream_->resource_delay(), deferred});
+}
+
+decide::ClientSnapshot ClientSessions::Connection::snapshot() const {
+    auto snapshot = state_;
+    snapshot.open_requests = sequence_numbers_.open_count();
+    snapshot.has_unsent = stream_->unsent() > 0;
+    snapshot.has_unread = deferred_ || sessions_.loop_.now() < unread_until_;
+    return snapshot;
+}
+
+decide::ClosingContext ClientSessions::Connection::closing_context() const {
+    const auto current = snapshot();
+    return {current.open_requests, current.has_unsent, current.has_unread};
+}
+
+// Ends reading after a malformed message, as the rest of the stream can't be parsed. The requests accepted
+// before still get their responses; if their sequence number was reused, the exception is the response.
+void ClientSessions::Connection::end_malformed(std::int32_t sequence, thrift::Fault fault,
+                                               const std::string& reason) {
+    ++sessions_.counters_.malformed;
+    queue(thrift::exception("process", sequence, fault, reason));
+    malformed_ = true;
+    state_.partial_request_since = 0;
+    if (sequence_numbers_.release(sequence))
+        sessions_.events_.on_cancelled(id_, sequence);
+    close_if_answered();
+}
+
+void ClientSessions::Connection::close_if_answered() {
+    if (!malformed_ || state_.closing || sequence_numbers_.open_count() > 0)
+        return;
+    if (const auto permit = sessions_.permit_close(*this, decide::CloseReason::malformed))
+        close(*permit);
+}
+
+bool ClientSessions::Connection::respond(std::int32_t sequence, std::string frame) {
+    if (!sequence_numbers_.release(sequence))
+        return false;
+    state_.last_active_at = sessions_.loop_.now();
+    queue(std::move(frame));
+    return true;
+}
+
+void ClientSessions::Connection::queue(std::string frame) {
+    const std::size_t size = frame.size();
+    if (stream_->send(std::move(frame)) != 0)
+        read_progress_.add_queued(size);
+}
+
+void ClientSessions::Connection::close(const decide::ClosePermit&) {
+    state_.closing = true;
+    state_.closing_since = sessions_.loop_.now();
+    state_.partial_request_since = 0;
+    stream_->finish();
+}
+
+}  // namespace gatetiller::node
