Draw the random numbers of a statement one by one: five digests failed on arm64

The decisions do not. Evidence: the lines of ProbingFleet of both machines side by side (x86-64 cross-compiled, under qemu-user) first differ in a request's drawn tenant and table group. Change: the numbers are drawn one statement each, in the order that x86-64 had. The expected digests stay. On x86-64 (cross-compiled, emulated) the three of DecisionDigest passed before the change.

--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -192,11 +192,13 @@
         tags += ",key=" + request->key;
     h.add("X-Trino-Client-Tags", tags);
     h.add("X-Trino-Session", "query_max_run_time=" + std::to_string(t.patience / kMillisecond) + "ms");
-    if (traffic_.estimate_cv >= 0)
+    if (traffic_.estimate_cv >= 0) {
+        // Drawn one by one: within one expression, compilers for different machines draw in different orders.
+        const double memory_mb = random_.lognormal(request->memory_mb, traffic_.estimate_cv);
+        const double work_ms = random_.lognormal(request->work_ms, traffic_.estimate_cv);
         h.add("X-Trino-Resource-Estimate",
-              "CPU_TIME=" + fixed(random_.lognormal(request->work_ms, traffic_.estimate_cv)) +
-                  "ms,PEAK_MEMORY=" + fixed(random_.lognormal(request->memory_mb, traffic_.estimate_cv)) +
-                  "MiB");
+              "CPU_TIME=" + fixed(work_ms) + "ms,PEAK_MEMORY=" + fixed(memory_mb) + "MiB");
+    }
     note("asked", t);
     t.give_up = loop_.after(t.patience, [this, number] {
         Try& mine = *tries_.at(number);
--- a/tests/bench/decision_digest_test.cpp
+++ b/tests/bench/decision_digest_test.cpp
@@ -164,11 +164,13 @@
         const Micros estimate =
             1 + static_cast<Micros>(static_cast<double>(request.work) * random_.uniform(0.6, 1.5));
         requests_[id] = request;
+        // Drawn one by one: within one expression, compilers for different machines draw in different orders.
+        const std::string table_group = std::to_string(random_.below(4));
+        const std::string memory_mb = std::to_string(20 + random_.below(200));
+        const std::string tenant = std::to_string(random_.below(2));
         std::string line = "demand\ti=" + std::to_string(instance) + "\tcorr=" + id + "\ttype=" + cls.name +
-                           "\tgrace_us=" + std::to_string(cls.time_left) + "\tbilling=t" +
-                           std::to_string(random_.below(2)) +
-                           "\tmem_mb=" + std::to_string(20 + random_.below(200)) +
-                           "\ttable_group=" + std::to_string(random_.below(4));
+                           "\tgrace_us=" + std::to_string(cls.time_left) + "\tbilling=t" + tenant +
+                           "\tmem_mb=" + memory_mb + "\ttable_group=" + table_group;
         if (plan_.costs_known)
             line += "\tplan_cost_us=" + std::to_string(estimate);
         if (cls.ordered)
