Node: limit the input that clients make it hold before their messages are complete

Cause: derive_limits gave no share of the memory to input that is not read yet, up to 48 KiB for each of 650 connections, and a buffer kept its largest size, up to 160 KB, until it was empty once. Buffers give back what is consumed. input_bytes, unsent_bytes and discarded_messages in the status line. Why it works: what clients hold is bounded by the budget, one read and 4 KiB for each connection, whatever they send, and nothing that was taken goes without an answer.

--- a/src/base/buffer.hpp
+++ b/src/base/buffer.hpp
@@ -1,5 +1,6 @@
 // Byte queue in one contiguous block: bytes are appended at the end and consumed at the front. Views are
-// valid until the next modification. A buffer that becomes empty releases the memory of a large message.
+// valid until the next modification. A buffer that becomes empty releases the memory of a large message, and
+// release_spare_capacity() that of the part consumed already.
 #pragma once
 
 #include <cassert>
@@ -46,7 +47,19 @@
         bytes_.clear();
         start_ = 0;
         if (bytes_.capacity() > kRetainedCapacityBytes)
-            bytes_.shrink_to_fit();
+            std::string().swap(bytes_);
+    }
+    // Moves the bytes to a smaller block if less than half of the present one is in use. Invalidates views.
+    void release_spare_capacity() {
+        if (bytes_.capacity() <= kRetainedCapacityBytes || bytes_.capacity() <= 2 * size())
+            return;
+        std::string smaller(view());
+        bytes_.swap(smaller);
+        start_ = 0;
+    }
+    // Returns the bytes of memory that the buffer occupies while it is not empty; 0 while it is.
+    std::size_t memory() const {
+        return empty() ? 0 : bytes_.capacity();
     }
     std::string_view view() const {
         return std::string_view(bytes_).substr(start_);
@@ -59,7 +72,7 @@
     }
 
 private:
-    static constexpr std::size_t kRetainedCapacityBytes = 4096;
+    static constexpr std::size_t kRetainedCapacityBytes = 1024;
     void compact() {
         bytes_.erase(0, start_);
         start_ = 0;
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -44,6 +44,8 @@
     local,  // nothing was sent: this machine lacked a resource (descriptors, memory, ports, a route)
 };
 
+class InputBudget;
+
 class StreamEvents {
 public:
     virtual ~StreamEvents() = default;
@@ -103,6 +105,11 @@
     // resources to read or accept them, in addition to Loop::input_delay().
     virtual Micros resource_delay() const = 0;
     virtual void schedule_delivery() = 0;  // calls on_data again in the next turn if bytes are buffered
+    // While the budget is exceeded, at most InputBudget::kAllowanceBytes are buffered for the owner; the rest
+    // stays in the kernel's buffer. The budget must outlive the stream; its owner keeps it up to date.
+    virtual void set_input_budget(const InputBudget& budget) = 0;
+    // Drops the received bytes that the owner has not consumed. Not to be called in the stream's own on_data.
+    virtual void discard_input() = 0;
     virtual const std::string& peer() const = 0;  // address of the peer, for logs and limits
 };
 
--- a/src/net/poll_socket.cpp
+++ b/src/net/poll_socket.cpp
@@ -15,7 +15,9 @@
 
 constexpr std::size_t kReadSize = 64 * 1024;
 constexpr std::size_t kWriteSize = 256 * 1024;       // maximum bytes written per on_sending() call
-constexpr Micros kNoBufferPause = 5 * kMillisecond;  // after the kernel lacked memory for a transfer
+constexpr Micros kNoBufferPause = 5 * kMillisecond;  // after the kernel or the budget lacked memory
+// Entries for sends that a socket keeps allocated while it has fewer.
+constexpr std::size_t kRetainedSends = 64;
 // Interval between connection attempts while this machine lacks a resource.
 constexpr Micros kConnectRetryInterval = 20 * kMillisecond;
 
@@ -93,25 +95,22 @@
         receive();
 }
 
-bool PollLoop::Socket::receive() {
-    if (!reading || in.size() >= loop.limits_.input) {
-        // A stream with reading disabled is still notified of a reset. An orderly close is reported once
-        // reading resumes, as unread bytes may precede it; poll would report it in every turn, so polling
-        // stops meanwhile.
-        if (pending_error(fd) != 0)
-            end(Closed::reset);
-        else
-            loop.stop_polling(*this);
-        return false;
-    }
-    // Reads up to the end of the stream if available: if the client has disconnected after a request, this
-    // must be known before anything is forwarded for that request.
+// Returns how many bytes may be buffered for the owner now.
+std::size_t PollLoop::Socket::input_limit() const {
+    const bool restricted = input_budget && input_budget->exceeded();
+    return restricted ? std::min(loop.limits_.input, InputBudget::kAllowanceBytes) : loop.limits_.input;
+}
+
+// Reads into `in` until it holds `limit` bytes. Reads up to the end of the stream if available: if the client
+// has disconnected after a request, this must be known before anything is forwarded for that request.
+PollLoop::Socket::Reading PollLoop::Socket::read_available(std::size_t limit) {
+    Reading reading_now;
+    auto& [received, all, ended] = reading_now;
+    if (in.size() >= limit)
+        pause(kNoBufferPause);
     char chunk[kReadSize];
-    std::optional<Closed> ended;
-    std::size_t received = 0;
-    bool all = false;
-    while (received < kReadSize && in.size() < loop.limits_.input && !ended && !all) {
-        const ssize_t n = ::recv(fd, chunk, sizeof chunk, 0);
+    while (received < kReadSize && in.size() < limit && !ended && !all) {
+        const ssize_t n = ::recv(fd, chunk, std::min(sizeof chunk, limit - in.size()), 0);
         if (n > 0) {
             in.append(std::string_view(chunk, static_cast<std::size_t>(n)));
             received += static_cast<std::size_t>(n);
@@ -139,6 +138,21 @@
                 break;
         }
     }
+    return reading_now;
+}
+
+bool PollLoop::Socket::receive() {
+    if (!reading || in.size() >= loop.limits_.input) {
+        // A stream with reading disabled is still notified of a reset. An orderly close is reported once
+        // reading resumes, as unread bytes may precede it; poll would report it in every turn, so polling
+        // stops meanwhile.
+        if (pending_error(fd) != 0)
+            end(Closed::reset);
+        else
+            loop.stop_polling(*this);
+        return false;
+    }
+    const auto [received, all, ended] = read_available(input_limit());
     const bool paused = pause_timer != 0;
     // Bytes left unread have waited for as long as the bytes read.
     const bool left_over = paused || (!all && !ended);
@@ -160,6 +174,7 @@
     if (!owner || in.empty())
         return;
     owner->on_data(in);
+    in.release_spare_capacity();
     update_wanted();
 }
 
@@ -260,10 +275,13 @@
 
 void PollLoop::Socket::count_written(std::size_t n) {
     out.consume(n);
+    out.release_spare_capacity();
     auto at = pending.begin();
     for (; at != pending.end() && n >= at->remaining; ++at)
         n -= at->remaining;
     pending.erase(pending.begin(), at);
+    if (pending.capacity() > kRetainedSends && pending.size() < pending.capacity() / 4)
+        pending.shrink_to_fit();
     if (n > 0)
         pending.front().remaining -= n, pending.front().started = true;
 }
@@ -406,4 +424,9 @@
     socket_->loop.to_deliver_.push_back(socket_);
 }
 
+void PollLoop::SocketStream::discard_input() {
+    socket_->in.clear();
+    socket_->update_wanted();
+}
+
 }  // namespace gatetiller::net
--- a/src/net/poll_watched.hpp
+++ b/src/net/poll_watched.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "net/input_budget.hpp"
 #include "net/kernel_address.hpp"
 #include "net/poll_loop.hpp"
 
@@ -64,7 +65,14 @@
 
     // Reading
     void on_ready(short ready) override;
+    struct Reading {
+        std::size_t received = 0;  // bytes
+        bool all = false;          // the kernel has no more for now
+        std::optional<Closed> ended;
+    };
     bool receive();  // returns whether everything available was read
+    Reading read_available(std::size_t limit);
+    std::size_t input_limit() const;
     void deliver();
 
     // Writing
@@ -91,6 +99,7 @@
     }
 
     StreamEvents* owner = nullptr;
+    const InputBudget* input_budget = nullptr;  // null: only the loop's limit applies
     Buffer in, out;
     // The parts of `out`, in order; includes dropped ones after the stream broke.
     std::vector<PendingSend> pending;
@@ -191,6 +200,10 @@
     void read(bool on) override;
     Micros resource_delay() const override;
     void schedule_delivery() override;
+    void set_input_budget(const InputBudget& budget) override {
+        socket_->input_budget = &budget;
+    }
+    void discard_input() override;
     const std::string& peer() const override {
         return socket_->peer;
     }
--- a/src/net/tap.cpp
+++ b/src/net/tap.cpp
@@ -59,6 +59,13 @@
     void schedule_delivery() override {
         below_->schedule_delivery();
     }
+    void set_input_budget(const InputBudget& budget) override {
+        below_->set_input_budget(budget);
+    }
+    void discard_input() override {
+        below_->discard_input();
+        reported_size_ = 0;
+    }
     const std::string& peer() const override {
         return peer_;
     }
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -19,10 +19,22 @@
 }
 
 void ClientSessions::Connection::start() {
+    stream_->set_input_budget(sessions_.input_budget_);
     stream_->events(*this);
 }
 
 void ClientSessions::Connection::on_data(Buffer& in) {
+    const std::weak_ptr<char> alive = alive_;
+    skip_discarded_message(in);
+    if (!discarded_message_)
+        read_messages(in);
+    if (alive.expired())
+        return;
+    report_held_input(in);
+    sessions_.discard_excess_input();
+}
+
+void ClientSessions::Connection::read_messages(Buffer& in) {
     deferred_ = false;
     unread_until_ = 0;
     waiting_since_ = std::exchange(deferred_since_, 0);
@@ -41,6 +53,56 @@
         state_.partial_request_since = sessions_.loop_.now();
 }
 
+// Reports to the budget what stays in the buffer after reading, and remembers what is needed to discard it.
+void ClientSessions::Connection::report_held_input(Buffer& in) {
+    in.release_spare_capacity();
+    const std::size_t held = in.memory();
+    const bool incomplete = !deferred_ && !malformed_ && !state_.closing;
+    sessions_.input_budget_.update(id_, held, incomplete);
+    partial_message_.reset();
+    if (incomplete && held > net::InputBudget::kAllowanceBytes)
+        partial_message_ = PartialMessage{thrift::read_call_head(in.view()), in.size()};
+}
+
+void ClientSessions::Connection::discard_partial_message() {
+    sessions_.input_budget_.remove(id_);
+    if (!partial_message_)
+        return;
+    const auto partial = std::exchange(partial_message_, std::nullopt);
+    stream_->discard_input();
+    ++sessions_.counters_.discarded;
+    if (!partial->head)
+        return end_malformed(0, thrift::Fault::protocol, partial->head.error());
+    discarded_message_ =
+        DiscardedMessage{*partial->head, partial->head->frame_bytes - partial->received_bytes};
+}
+
+void ClientSessions::Connection::skip_discarded_message(Buffer& in) {
+    if (!discarded_message_)
+        return;
+    unread_until_ = 0;
+    const std::size_t skipped = std::min(discarded_message_->missing_bytes, in.size());
+    in.consume(skipped);
+    discarded_message_->missing_bytes -= skipped;
+    if (discarded_message_->missing_bytes > 0)
+        return;
+    const auto message = std::exchange(discarded_message_, std::nullopt);
+    state_.partial_request_since = 0;
+    if (!malformed_ && !state_.closing)
+        end_discarded_message(message->head);
+}
+
+void ClientSessions::Connection::end_discarded_message(const thrift::CallHead& head) {
+    state_.last_active_at = sessions_.loop_.now();
+    if (!head.is_process())
+        return queue(thrift::exception(head.method, head.seq, thrift::Fault::protocol,
+                                       "discarded: the messages of all clients are too long"));
+    if (!accept_sequence_number(head.seq))
+        return;
+    state_.has_sent_request = true;
+    sessions_.events_.on_discarded(id_, head.seq);
+}
+
 ClientSessions::Connection::Reading ClientSessions::Connection::read_message(Buffer& in, int calls) {
     std::string_view frame;
     const auto framing = thrift::next_frame(in, kMaxFrameBytes, frame);
@@ -93,17 +155,25 @@
     }
 }
 
-void ClientSessions::Connection::handle_process(thrift::Call call) {
-    switch (sequence_numbers_.accept(call.seq)) {
+bool ClientSessions::Connection::accept_sequence_number(std::int32_t sequence) {
+    switch (sequence_numbers_.accept(sequence)) {
         case decide::ClientSequenceNumbers::Verdict::accepted:
-            break;
+            return true;
         case decide::ClientSequenceNumbers::Verdict::not_increasing:
-            return end_malformed(call.seq, thrift::Fault::bad_sequence, "sequence numbers must climb");
+            end_malformed(sequence, thrift::Fault::bad_sequence, "sequence numbers must climb");
+            return false;
         case decide::ClientSequenceNumbers::Verdict::too_many_open:
-            return end_malformed(
-                call.seq, thrift::Fault::protocol,
+            end_malformed(
+                sequence, thrift::Fault::protocol,
                 "more than " + std::to_string(decide::ClientSequenceNumbers::kMaxOpen) + " open requests");
+            return false;
     }
+    return false;
+}
+
+void ClientSessions::Connection::handle_process(thrift::Call call) {
+    if (!accept_sequence_number(call.seq))
+        return;
     const Micros unread_wait = std::max(max_unread_wait(), state_.has_sent_request ? 0 : backlog_wait_);
     state_.has_sent_request = true;
     sessions_.events_.on_request(id_, std::move(call), unread_wait);
@@ -166,6 +236,7 @@
     state_.closing = true;
     state_.closing_since = sessions_.loop_.now();
     state_.partial_request_since = 0;
+    sessions_.input_budget_.remove(id_);
     stream_->finish();
 }
 
--- a/src/node/client_connection.hpp
+++ b/src/node/client_connection.hpp
@@ -1,8 +1,13 @@
 // One connection of ClientSessions: reads its messages, and queues the responses to them. Internal to
 // src/node.
+//
+// A message that is discarded before it is complete (net::InputBudget) is read to its end without being
+// stored, so that the messages after it are read as usual. A request is then rejected like one for which the
+// node has no room.
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -53,6 +58,8 @@
         return read_progress_.check(stream_->unsent());
     }
     void close_if_answered();
+    // Discards the part of a message that has arrived, and its rest once it arrives.
+    void discard_partial_message();
     // Closes gracefully: pending output is sent, further input is read and discarded.
     void close(const decide::ClosePermit& permit);
     std::set<std::int32_t> release_all() {
@@ -67,9 +74,26 @@
         deferred,    // complete messages are left for the next turn
         gone,        // the connection has been destroyed
     };
+    // The incomplete message at the end of the input.
+    struct PartialMessage {
+        Result<thrift::CallHead> head;
+        std::size_t received_bytes = 0;
+    };
+    // A message of which nothing is stored.
+    struct DiscardedMessage {
+        thrift::CallHead head;
+        std::size_t missing_bytes = 0;
+    };
+
+    void read_messages(Buffer& in);
+    void report_held_input(Buffer& in);
+    void skip_discarded_message(Buffer& in);
+    void end_discarded_message(const thrift::CallHead& head);
     Reading read_message(Buffer& in, int calls);
     void handle(thrift::Call call);
     void handle_process(thrift::Call call);
+    // Opens the sequence number of a request. Returns false after ending the connection as malformed.
+    bool accept_sequence_number(std::int32_t sequence);
     void queue(std::string frame);
     void end_malformed(std::int32_t sequence, thrift::Fault fault, const std::string& reason);
     Micros max_unread_wait() const;
@@ -88,6 +112,9 @@
     Micros deferred_since_ = 0;  // since when the deferred messages have waited; 0: none are deferred
     Micros waiting_since_ = 0;   // since when the messages of this turn have waited; 0: since they arrived
     Micros unread_until_ = 0;    // unread bytes are assumed until then or until bytes are read
+    // Set while more than InputBudget::kAllowanceBytes of an incomplete message are held.
+    std::optional<PartialMessage> partial_message_;
+    std::optional<DiscardedMessage> discarded_message_;
     std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
 
--- a/src/node/client_sessions.cpp
+++ b/src/node/client_sessions.cpp
@@ -17,7 +17,11 @@
 
 ClientSessions::ClientSessions(net::Loop& loop, decide::ResourceLimits limits, Events events,
                                const FaultInjection& faults)
-    : loop_(loop), limits_(limits), events_(std::move(events)), faults_(faults) {}
+    : loop_(loop),
+      limits_(limits),
+      input_budget_(limits.input_bytes),
+      events_(std::move(events)),
+      faults_(faults) {}
 
 ClientSessions::~ClientSessions() {
     for (const auto timer : {sweep_timer_, resume_timer_, backlog_timer_})
@@ -172,6 +176,7 @@
         return;
     const auto dropped = std::move(found->second);
     connections_.erase(found);
+    input_budget_.remove(id);
     for (const auto sequence : dropped->release_all())
         events_.on_cancelled(id, sequence);
 }
@@ -201,6 +206,19 @@
         drop(id, decide::CloseReason::slow_reader);
 }
 
+// A message discarded here is the largest of all clients', so this ends.
+void ClientSessions::discard_excess_input() {
+    while (const auto largest = input_budget_.select_discard())
+        connections_.at(*largest)->discard_partial_message();
+}
+
+std::size_t ClientSessions::unsent_bytes() const {
+    std::size_t bytes = 0;
+    for (const auto& [id, connection] : connections_)
+        bytes += connection->unsent();
+    return bytes;
+}
+
 void ClientSessions::close_timed_out() {
     std::vector<ClientId> timed_out;
     for (const auto& [id, connection] : connections_) {
--- a/src/node/client_sessions.hpp
+++ b/src/node/client_sessions.hpp
@@ -21,6 +21,7 @@
 #include "decide/close_guard.hpp"
 #include "decide/resource_limits.hpp"
 #include "decide/slow_reader.hpp"
+#include "net/input_budget.hpp"
 #include "net/loop.hpp"
 #include "node/fault_injection.hpp"
 #include "thrift/service.hpp"
@@ -38,6 +39,8 @@
     // Timeouts while waiting for a complete request. The connection may have stayed open, if a last read
     // found one.
     std::uint64_t overdue = 0;
+    // Messages discarded unread, as the clients' input exceeded its limit.
+    std::uint64_t discarded = 0;
     std::uint64_t waits = 0;  // times that accepting paused until a connection could be evicted
     std::array<std::uint64_t, decide::kCloseReasons> closed{};  // connections, by reason
 };
@@ -48,6 +51,9 @@
         // A `process` call, whose response is sent with respond(). `unread_wait`: how long, in microseconds,
         // it may have waited before this process read it.
         std::function<void(ClientId, thrift::Call, Micros unread_wait)> on_request;
+        // A request was discarded unread, as the clients' input exceeded its limit. Its rejection is sent
+        // with respond().
+        std::function<void(ClientId, std::int32_t sequence)> on_discarded;
         // The client has cancelled the request or its connection has ended: no response is expected any more.
         std::function<void(ClientId, std::int32_t sequence)> on_cancelled;
         // This node closes a connection; for logs.
@@ -69,9 +75,10 @@
     Result<net::Address> listen(const net::Address& at);
     // Sends the response of an open request, as a complete frame; no effect if the client has disconnected.
     void respond(ClientId id, std::int32_t sequence, std::string frame);
-    // Replaces the limits on connections and unsent responses.
+    // Replaces the limits on connections, input and unsent responses.
     void set_limits(const decide::ResourceLimits& limits) {
         limits_ = limits;
+        input_budget_.set_limit(limits.input_bytes);
     }
 
     // ---- Graceful shutdown
@@ -90,6 +97,12 @@
     std::size_t connections() const {
         return connections_.size();
     }
+    // Bytes of memory that hold input of all clients which is not read yet.
+    std::size_t input_bytes() const {
+        return input_budget_.held();
+    }
+    // Bytes of the responses of all clients that the kernel has not accepted.
+    std::size_t unsent_bytes() const;
     const ClientCounters& counters() const {
         return counters_;
     }
@@ -114,10 +127,12 @@
     void close_timed_out();
     void close_slow_readers();
     void close_if_over_limit(ClientId id);
+    void discard_excess_input();
 
     net::Loop& loop_;
     decide::ResourceLimits limits_;
     decide::ClientTimeouts timeouts_;
+    net::InputBudget input_budget_;
     Events events_;
     const FaultInjection& faults_;
     std::unique_ptr<net::Listener> listener_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -60,6 +60,10 @@
                 [this](ClientId client, thrift::Call call, Micros unread_wait) {
                     requests_.on_request({client, std::move(call), unread_wait});
                 },
+            .on_discarded =
+                [this](ClientId client, std::int32_t sequence) {
+                    requests_.on_discarded(client, sequence);
+                },
             .on_cancelled =
                 [this](ClientId client, std::int32_t sequence) {
                     requests_.on_client_cancelled(client, sequence);
--- a/src/node/request_admission.cpp
+++ b/src/node/request_admission.cpp
@@ -13,6 +13,11 @@
 
 constexpr Micros kResponseReserve = 5 * kMillisecond;  // for the response to reach its client
 
+// Returns the time after which a rejected client may retry, in microseconds; 0: it is not told.
+Micros retry_after_of(const PolicySettings& settings) {
+    return settings.sends_retry_after ? settings.max_retry_after : 0;
+}
+
 RejectedRequest reject(RequestOutcome outcome, std::int32_t sequence, Micros retry_after) {
     return {outcome, rejection_frame(sequence, retry_after), ""};
 }
@@ -44,6 +49,10 @@
 
 }  // namespace
 
+RejectedRequest reject_at_capacity(std::int32_t sequence, const PolicySettings& settings) {
+    return reject(RequestOutcome::at_capacity, sequence, retry_after_of(settings));
+}
+
 std::string rejection_frame(std::int32_t sequence, Micros retry_after) {
     thrift::Fields hint;
     if (retry_after > 0)
@@ -60,16 +69,15 @@
             RequestOutcome::malformed,
             thrift::exception("process", call.seq, thrift::Fault::invalid_type, checked.error()),
             checked.error()};
-    const Micros retry_after = context.settings.sends_retry_after ? context.settings.max_retry_after : 0;
     const decide::NodeLoad load{context.requests.size(), context.requests.statement_bytes(),
                                 context.requests.contains(checked->id), context.shutting_down_for};
     switch (decide::admit(load, call.body.size(), context.limits, context.shutdown_schedule)) {
         case decide::NodeAdmission::admitted:
             break;
         case decide::NodeAdmission::duplicate:
-            return reject(RequestOutcome::duplicate, call.seq, retry_after);
+            return reject(RequestOutcome::duplicate, call.seq, retry_after_of(context.settings));
         case decide::NodeAdmission::at_capacity:
-            return reject(RequestOutcome::at_capacity, call.seq, retry_after);
+            return reject_at_capacity(call.seq, context.settings);
         case decide::NodeAdmission::shutting_down:
             return reject(RequestOutcome::shutting_down, call.seq, 0);
     }
--- a/src/node/request_admission.hpp
+++ b/src/node/request_admission.hpp
@@ -45,6 +45,9 @@
 std::variant<AdmittedRequest, RejectedRequest> admit_request(IncomingCall incoming,
                                                              const AdmissionContext& context);
 
+// Returns the rejection of a call for which the node has no room.
+RejectedRequest reject_at_capacity(std::int32_t sequence, const PolicySettings& settings);
+
 // Returns the response that rejects a call. `retry_after`: the time after which the client may retry, in
 // microseconds; 0: the response contains none.
 std::string rejection_frame(std::int32_t sequence, Micros retry_after);
--- a/src/node/request_dispatcher.cpp
+++ b/src/node/request_dispatcher.cpp
@@ -31,6 +31,10 @@
     context_.clients.respond(client, sequence, std::move(rejected.frame));
 }
 
+void RequestDispatcher::on_discarded(ClientId client, std::int32_t sequence) {
+    reject(client, sequence, reject_at_capacity(sequence, context_.settings.policy));
+}
+
 void RequestDispatcher::accept(AdmittedRequest admitted) {
     if (admitted.arrival.estimated_work)
         context_.endpoints.record_work(*admitted.arrival.estimated_work);
--- a/src/node/request_dispatcher.hpp
+++ b/src/node/request_dispatcher.hpp
@@ -41,6 +41,8 @@
 
     // Admits a client's call as an active request, or rejects it immediately.
     void on_request(IncomingCall incoming);
+    // Rejects a request that was discarded unread.
+    void on_discarded(ClientId client, std::int32_t sequence);
     // Handles that the client has cancelled the request with this sequence number or has disconnected.
     void on_client_cancelled(ClientId client, std::int32_t sequence);
     // Executes an action of the policy.
--- a/src/node/status_report.cpp
+++ b/src/node/status_report.cpp
@@ -55,7 +55,8 @@
     return counter_text("accepted", counters.accepted) +
            counter_text("malformed_messages", counters.malformed) +
            counter_text("evicted", counters.evicted) + counter_text("overdue", counters.overdue) +
-           counter_text("waits", counters.waits) + " closed=" + closed_by_reason_text(counters);
+           counter_text("discarded_messages", counters.discarded) + counter_text("waits", counters.waits) +
+           " closed=" + closed_by_reason_text(counters);
 }
 
 std::string pool_text(const ConnectionPool& pool) {
@@ -77,7 +78,10 @@
         in_flight += engine.in_flight;
     const std::string ended = sources.requests.counters().text();
     return "requests=" + std::to_string(sources.requests.active_requests()) +
-           counter_text("clients", sources.clients.connections()) + " " + sources.endpoints.list_text() +
+           counter_text("clients", sources.clients.connections()) +
+           counter_text("input_bytes", sources.clients.input_bytes()) +
+           counter_text("unsent_bytes", sources.clients.unsent_bytes()) + " " +
+           sources.endpoints.list_text() +
            " engines(policy/sockets/connections)=" + engines_text(sources.endpoints) +
            (ended.empty() ? "" : " " + ended) + clients_text(sources.clients.counters()) +
            " attempts=" + sources.attempts.counters_text() + pool_text(sources.endpoints.pool()) +
--- a/src/sim/virtual_loop.cpp
+++ b/src/sim/virtual_loop.cpp
@@ -183,6 +183,10 @@
                 e->owner->on_data(e->in);
         });
     }
+    void set_input_budget(const net::InputBudget&) override {}  // a virtual network has room for all
+    void discard_input() override {
+        end_->in.clear();
+    }
     const std::string& peer() const override {
         return end_->peer;
     }
--- a/src/thrift/service.cpp
+++ b/src/thrift/service.cpp
@@ -48,21 +48,40 @@
     return true;
 }
 
-}  // namespace
-
-Result<Call> read_call(std::string_view frame) {
-    Reader r(frame);
-    Call call;
+Result<CallHead> read_head(Reader& r) {
     const auto head = static_cast<std::uint32_t>(r.i32());
     const auto type = static_cast<MessageType>(head & 0xff);
     if (!r.ok() || (head & kVersionMask) != kVersion)
         return Error{"not a strict binary message"};
     if (type != MessageType::call && type != MessageType::oneway)
         return Error{"not a call"};
+    CallHead call;
     call.method = r.string();
     call.seq = r.i32();
     if (!r.ok() || call.method.size() > kMaxMethodSize)
         return Error{"a message head that can't be read"};
+    return call;
+}
+
+}  // namespace
+
+Result<CallHead> read_call_head(std::string_view bytes) {
+    Reader r(bytes);
+    const auto size = static_cast<std::uint32_t>(r.i32());
+    auto head = read_head(r);
+    if (head)
+        head->frame_bytes = kFrameHead + size;
+    return head;
+}
+
+Result<Call> read_call(std::string_view frame) {
+    Reader r(frame);
+    auto head = read_head(r);
+    if (!head)
+        return head.failure();
+    Call call;
+    call.method = std::move(head->method);
+    call.seq = head->seq;
     call.what = what_of(call.method);
     bool has_number = false;
     if (!read_arguments(r, call, has_number))
--- a/src/thrift/service.hpp
+++ b/src/thrift/service.hpp
@@ -23,6 +23,19 @@
 // Parses one frame. After an error the connection cannot be used any more.
 Result<Call> read_call(std::string_view frame);
 
+// The first part of a call whose frame has not arrived completely.
+struct CallHead {
+    std::string method;
+    std::int32_t seq = 0;
+    std::size_t frame_bytes = 0;  // of the complete frame, its length prefix included
+    bool is_process() const {
+        return method == "process";
+    }
+};
+// Reads the head of a call from the first bytes of its frame, length prefix included. Returns an error if the
+// bytes do not contain the whole head, or are not those of a call.
+Result<CallHead> read_call_head(std::string_view bytes);
+
 // Calls sent by a client, as complete frames.
 std::string process_call(std::int32_t seq, const Fields& fields, std::string_view body);
 std::string give_up_call(std::int32_t seq, std::int32_t given_up);
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -4,16 +4,20 @@
 #include <csignal>
 
 #include "base/await.hpp"
+#include "net/input_budget.hpp"
 #include "net/poll_loop.hpp"
 
 namespace gatetiller::net {
 namespace {
 
+constexpr std::size_t kLargeInput = 1 << 20;
+
 struct RecordingEvents final : StreamEvents {
     void on_connected() override {
         connected = true;
     }
     void on_data(Buffer& in) override {
+        offered = in.size();
         if (consume)
             received += in.size(), in.consume(in.size());
     }
@@ -24,7 +28,7 @@
         closed = how;
     }
     bool connected = false, consume = true;
-    std::size_t received = 0;
+    std::size_t received = 0, offered = 0;
     int sent = 0;
     std::optional<Closed> closed;
     std::unique_ptr<Stream> stream;
@@ -71,6 +75,28 @@
     EXPECT_EQ(client.stream->unsent(), 0u);
 }
 
+// Guards against input without limit from streams whose owner has no room, and against bytes lost meanwhile.
+TEST_F(LoopTest, BuffersOnlyTheAllowanceWhileTheInputBudgetIsExceeded) {
+    connect_client();
+    InputBudget budget(0);
+    budget.update(1, 1, false);
+    server.stream->set_input_budget(budget);
+    server.consume = false;
+    client.stream->send(std::string(kLargeInput, 'x'));
+    ASSERT_TRUE(until([&] {
+        return server.offered == InputBudget::kAllowanceBytes;
+    }));
+    for (int i = 0; i < 20; ++i)
+        loop.turn(kMillisecond);
+    EXPECT_EQ(server.offered, InputBudget::kAllowanceBytes);
+    server.consume = true;
+    server.stream->schedule_delivery();
+    budget.remove(1);
+    ASSERT_TRUE(until([&] {
+        return server.received == kLargeInput;
+    }));
+}
+
 TEST_F(LoopTest, ReportsCloseAfterReadingIsEnabledAgain) {
     connect_client();
     server.stream->read(false);
--- a/tests/node/client_reading_test.cpp
+++ b/tests/node/client_reading_test.cpp
@@ -26,6 +26,7 @@
         events.on_request = [this](node::ClientId id, const thrift::Call& call, Micros) {
             requests.emplace_back(id, call.seq);
         };
+        events.on_discarded = [](node::ClientId, std::int32_t) {};
         events.on_cancelled = [](node::ClientId, std::int32_t) {};
         events.on_closed = [](node::ClientId, const std::string&, decide::CloseReason,
                               const decide::ClosingContext&) {};
