serve: drop the rows of an attempt that ended wherever attempts end

Cause: rows wait for the client by statement. Only one of the places where an attempt ends dropped them; a cancelled attempt and one that timed out left theirs in front of those of the next attempt. Change: AttemptDispatcher::complete, where each attempt ends once, drops what waits unless the final response is ready; a statement that the policy sheds or fails has no rows in front of its error. New metric gatetiller_row_bytes_dropped_total. Why it works: every end of an attempt (cancel, timeout, ejection, lost connection, drain, reload) passes through complete(); once rows have gone out the lifecycle is streaming, and no other attempt is sent.

--- a/src/front/attempt_dispatcher.cpp
+++ b/src/front/attempt_dispatcher.cpp
@@ -118,6 +118,8 @@
         return;
     services_.loop.cancel(std::exchange(attempt.timeout_timer, 0));
     ActiveStatement& statement = attempt.statement;
+    if (!final_response_ready)
+        drop_waiting_rows(statement);
     if (attempt.in_lifecycle)
         statement.lifecycle.apply(decide::RequestEvent::attempt_ended);
     statement.last_attempt_outcome = outcome;
@@ -143,6 +145,13 @@
         services_.statements.release_later(statement.id);
 }
 
+// The rows of an attempt that ends without being the response must not reach the client: another attempt
+// sends its own.
+void AttemptDispatcher::drop_waiting_rows(const ActiveStatement& statement) {
+    services_.metrics.count_dropped_row_bytes(services_.statement_api.waiting_bytes(statement.id));
+    services_.statement_api.drop_waiting(statement.id);
+}
+
 // ---- Attempt guard
 
 bool AttemptDispatcher::may_send_first_byte(const StatementAttempt& attempt) {
--- a/src/front/attempt_dispatcher.hpp
+++ b/src/front/attempt_dispatcher.hpp
@@ -26,8 +26,10 @@
     void withdraw_unsent_to_draining();
     // Completes an attempt and reports it to the policy; only the first call has an effect.
     // `final_response_ready`: whether the statement already has its final response, so that the policy must
-    // not retry it.
+    // not retry it. If not, rows of the attempt that the client has not fetched are dropped.
     void complete(StatementAttempt& attempt, AttemptOutcome outcome, bool final_response_ready);
+    // Drops the rows that the client has not fetched.
+    void drop_waiting_rows(const ActiveStatement& statement);
 
 private:
     enum class GuardMoment : std::uint8_t {
--- a/src/front/engine_responses.cpp
+++ b/src/front/engine_responses.cpp
@@ -126,9 +126,6 @@
         return serve(attempt, verdict.outcome, std::move(document), headers);
     if (statement.is_streaming())
         return truncate(attempt, verdict.outcome, std::move(document));
-    // Drops rows that the client has not fetched, because another attempt sends its own rows.
-    if (!finished)
-        services_.statement_api.drop_waiting(statement.id);
     dispatcher_.complete(attempt, verdict.outcome, finished);
 }
 
--- a/src/front/metrics.cpp
+++ b/src/front/metrics.cpp
@@ -30,6 +30,9 @@
       attempts_(add_counter(*registry_, "gatetiller_attempts_total", "Attempts that ended, by outcome.")),
       finished_(add_counter(*registry_, "gatetiller_statements_finished_total",
                             "Statements that ended, by class and how.")),
+      dropped_row_bytes_(
+          add_counter(*registry_, "gatetiller_row_bytes_dropped_total",
+                      "Bytes of rows of attempts that ended before their clients fetched them.")),
       violations_(add_counter(*registry_, "gatetiller_violations_prevented_total",
                               "Actions that a guard refused, by invariant; zero in a sound front.")),
       seconds_(prometheus::BuildHistogram()
@@ -54,6 +57,10 @@
     attempts_.Add({{"outcome", decide::name_of(outcome)}}).Increment();
 }
 
+void Metrics::count_dropped_row_bytes(std::size_t bytes) {
+    dropped_row_bytes_.Add({}).Increment(static_cast<double>(bytes));
+}
+
 void Metrics::count_violation(decide::Invariant invariant) {
     violations_.Add({{"invariant", decide::name_of(invariant)}}).Increment();
 }
--- a/src/front/metrics.hpp
+++ b/src/front/metrics.hpp
@@ -34,6 +34,9 @@
     void count_rejected(RejectionReason reason);
     // gatetiller_attempts_total{outcome}: counts an attempt that ended.
     void count_attempt(AttemptOutcome outcome);
+    // gatetiller_row_bytes_dropped_total: counts rows of an attempt that ended before its client fetched
+    // them.
+    void count_dropped_row_bytes(std::size_t bytes);
     // gatetiller_violations_prevented_total{invariant}: counts an action that a guard refused.
     void count_violation(decide::Invariant invariant);
     // gatetiller_statements_finished_total{class,ended} and gatetiller_statement_seconds{class}
@@ -51,6 +54,7 @@
     prometheus::Family<prometheus::Counter>& rejected_;
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Counter>& finished_;
+    prometheus::Family<prometheus::Counter>& dropped_row_bytes_;
     prometheus::Family<prometheus::Counter>& violations_;
     prometheus::Family<prometheus::Histogram>& seconds_;
     prometheus::Family<prometheus::Gauge>& gauges_;
--- a/src/front/statement_completion.cpp
+++ b/src/front/statement_completion.cpp
@@ -50,6 +50,9 @@
 
 void StatementCompletion::push_final(ActiveStatement& statement, statement::Document document,
                                      StatementOutcome outcome, Micros retry_after) {
+    // A statement that was not served has no rows, unless the client has its first ones already.
+    if (!statement.is_streaming())
+        dispatcher_.drop_waiting_rows(statement);
     statement.lifecycle.apply(decide::RequestEvent::response_ready);
     statement.outcome = outcome;
     statement.ended_at = services_.loop.now();
--- /dev/null
+++ b/tests/front/paused_client_test.cpp
@@ -0,0 +1,163 @@
+// A client that pauses before it fetches its rows, while the attempt that they come from ends in some way.
+#include <numeric>
+
+#include "base/named_parameter.hpp"
+#include "front/front_test_bed.hpp"
+
+namespace gatetiller::testing {
+namespace {
+
+constexpr long kRows = 40'000;
+constexpr const char* kLargeResult = "SELECT 1 /* gt: work_ms=5 rows=40000 row_bytes=100 */";
+// The front buffers far less than the result and waits for the client, which may pause for long.
+constexpr const char* kSettings = "limits+: { rows_ahead: '64KiB' }, times+: { abandoned_after: '60s' }, ";
+
+// An engine counts as silent after this and 0.6 s.
+constexpr const char* kShortNotePeriod = "facts+: { note_period: '200ms' }";
+// Longer than that, and shorter than the time after which the stand-in engine drops the result.
+constexpr Micros kLongPause = kSecondMicros;
+
+// Appends the numbers of the rows of a document: [[0,"..."],[1,"..."]].
+void append_row_numbers(std::string_view data, std::vector<long>& rows) {
+    for (std::size_t at = data.find('['); at != std::string_view::npos; at = data.find('[', at + 1)) {
+        const std::size_t number = at + 1;
+        if (number < data.size() && data[number] >= '0' && data[number] <= '9')
+            rows.push_back(std::strtol(data.data() + number, nullptr, 10));
+    }
+}
+
+// A statement whose client polls only when the test says so.
+class PausedClientStatement {
+public:
+    PausedClientStatement(FrontTestBed& bed, const std::string& source) : bed_(bed), source_(source) {
+        const auto accepted =
+            bed.exchange("POST", "/v1/statement", kLargeResult, FrontTestBed::headers(source));
+        next_ = statement::read_document(accepted.response.body)->next_uri;
+    }
+    void fetch_one() {
+        const auto answer =
+            bed_.exchange("GET", next_.substr(next_.find("/v1/")), "", FrontTestBed::headers(source_));
+        ASSERT_EQ(answer.response.status, 200);
+        const auto document = *statement::read_document(answer.response.body);
+        append_row_numbers(document.data, rows);
+        if (document.error)
+            error = document.error->name;
+        next_ = document.next_uri;
+    }
+    void fetch_all() {
+        while (!next_.empty() && !::testing::Test::HasFatalFailure())
+            fetch_one();
+    }
+    // Whether the rows are those of one result, complete and in order.
+    bool has_whole_result() const {
+        std::vector<long> expected(kRows);
+        std::iota(expected.begin(), expected.end(), 0L);
+        return rows == expected;
+    }
+
+    std::vector<long> rows;
+    std::string error;
+
+private:
+    FrontTestBed& bed_;
+    std::string source_;
+    std::string next_;
+};
+
+std::size_t waiting_bytes(FrontTestBed& bed) {
+    const auto status = bed.exchange("GET", "/v1/status").response.body;
+    const std::string name = "\"waitingBytes\":";
+    return std::strtoull(status.c_str() + status.find(name) + name.size(), nullptr, 10);
+}
+
+// Returns the engine of the first attempt.
+std::size_t first_engine(const FrontTestBed& bed) {
+    return bed.records.engines.front().engine == "e0" ? 0 : 1;
+}
+
+// Ends the first attempt of a statement whose rows wait.
+struct AttemptEnding : NamedParameter {
+    void (*end)(FrontTestBed& bed, std::size_t engine);
+};
+
+void wait_until_silent(FrontTestBed&, std::size_t) {}
+
+void crash(FrontTestBed& bed, std::size_t engine) {
+    bed.engine(engine).set({.crashed = true});
+}
+
+void drain(FrontTestBed& bed, std::size_t engine) {
+    bed.engine(engine).drain();
+}
+
+void remove_by_reload(FrontTestBed& bed, std::size_t engine) {
+    auto settings = bed.settings;
+    settings.engines.erase(settings.engines.begin() + static_cast<std::ptrdiff_t>(engine));
+    bed.front().reload(settings);
+}
+
+class PausedClientTest : public ::testing::TestWithParam<AttemptEnding> {};
+
+// Guards against a result with the first rows of an attempt that ended and all rows of the next one (review
+// case 6).
+TEST_P(PausedClientTest, GetsTheRowsOfOneAttemptOnly) {
+    FrontTestBed bed(2, std::string(kSettings) + kShortNotePeriod);
+    PausedClientStatement client(bed, "long");
+    ASSERT_TRUE(bed.wait_until([&] {
+        return bed.count("finished") == 1;
+    }));
+    ASSERT_TRUE(bed.wait_until([&] {
+        return waiting_bytes(bed) > 0;
+    }));
+    GetParam().end(bed, first_engine(bed));
+    ASSERT_TRUE(bed.wait_until([&] {
+        return bed.count("finished") >= 2 && waiting_bytes(bed) > 0;
+    }));
+    client.fetch_all();
+    EXPECT_EQ(client.error, "");
+    EXPECT_TRUE(client.has_whole_result()) << client.rows.size() << " rows";
+}
+
+INSTANTIATE_TEST_SUITE_P(AttemptEnds, PausedClientTest,
+                         ::testing::Values(AttemptEnding{{"Silence"}, wait_until_silent},
+                                           AttemptEnding{{"Crash"}, crash}, AttemptEnding{{"Drain"}, drain},
+                                           AttemptEnding{{"Reload"}, remove_by_reload}),
+                         kParameterName);
+
+// Guards against rows of an attempt that ended in front of the error that ends its statement.
+TEST(PausedClient, GetsEitherAWholeResultOrAnErrorWithoutRows) {
+    FrontTestBed bed(1, std::string(kSettings) + "facts+: { note_period: '0ms' }");
+    PausedClientStatement client(bed, "short");
+    ASSERT_TRUE(bed.wait_until([&] {
+        return waiting_bytes(bed) > 0;
+    }));
+    ASSERT_TRUE(bed.wait_until([&] {
+        return bed.exchange("GET", "/metrics").response.body.find("gatetiller_attempts_total{") !=
+               std::string::npos;
+    }));
+    client.fetch_all();
+    EXPECT_TRUE(client.error.empty() ? client.has_whole_result() : client.rows.empty())
+        << client.rows.size() << " rows, error " << client.error;
+}
+
+// Guards against cancelling an attempt of which the client has rows already.
+TEST(PausedClient, GetsTheRestOfTheRowsThatItBeganToFetch) {
+    FrontTestBed bed(2, std::string(kSettings) + kShortNotePeriod);
+    PausedClientStatement client(bed, "long");
+    ASSERT_TRUE(bed.wait_until([&] {
+        return waiting_bytes(bed) > 0;
+    }));
+    while (client.rows.empty())
+        client.fetch_one();
+    const Micros paused_at = bed.loop.now();
+    ASSERT_TRUE(bed.wait_until([&] {
+        return bed.loop.now() - paused_at > kLongPause;
+    }));
+    client.fetch_all();
+    EXPECT_EQ(client.error, "");
+    EXPECT_TRUE(client.has_whole_result()) << client.rows.size() << " rows";
+    EXPECT_EQ(bed.count("started"), 1);
+}
+
+}  // namespace
+}  // namespace gatetiller::testing
