serve: limit what clients make the HTTP server hold, for all connections together

Cause: incomplete requests had no sum; the next pipelined request was handled as soon as a response was queued; large responses queued for clients that read nothing had no sum either. Change: net::InputBudget for the server (64 MiB; beyond it the largest incomplete request gets 503 and is closed); the next request waits while over 64 KiB of its connection are unsent; beyond 256 MiB unsent a response of over 16 KiB is replaced by 503 with Retry-After. The parser gives back the memory of long lines. Why it works: each of the three sums is bounded wherever the bytes come in, and the client is told.

--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -34,10 +34,16 @@
 void Parser::reset(bool answers_head) {
     const Kind kind = kind_;
     const Limits limits = limits_;
-    *this = Parser(kind, limits);
+    Parser fresh(kind, limits);
+    std::swap(*this, fresh);  // an assignment would keep the memory of a long line or body
     answers_head_ = answers_head;
 }
 
+std::size_t Parser::held_bytes() const {
+    const std::size_t body_bytes = kind_ == Kind::request ? request_.body.size() : response_.body.size();
+    return header_bytes_ + request_.target.size() + body_bytes;
+}
+
 void Parser::fail(int status, std::string error) {
     state_ = State::failed;
     error_status_ = status;
@@ -214,6 +220,7 @@
 }
 
 void Parser::on_fields_done() {
+    std::string().swap(line_);
     const Headers& h = headers();
     const auto length = h.find("Content-Length"), coding = h.find("Transfer-Encoding");
     if (h.count("Content-Length") > 1)
--- a/src/http/parser.hpp
+++ b/src/http/parser.hpp
@@ -47,6 +47,9 @@
     // has no body.
     void reset(bool answers_head = false);
 
+    // Bytes of the message that are stored here.
+    std::size_t held_bytes() const;
+
     State state() const {
         return state_;
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,22 @@
 #include "http/server.hpp"
 
 namespace gatetiller::http {
+namespace {
+
+constexpr int kServiceUnavailable = 503;
+// Unsent bytes of a connection up to which its next request is handled.
+constexpr std::size_t kMaxUnsentBetweenRequests = 64 * 1024;
+// Responses up to this size are sent whatever waits already.
+constexpr std::size_t kSmallResponseBytes = 16 * 1024;
+
+Response lacks_memory_response(const std::string& reason) {
+    Response response{kServiceUnavailable, {}, reason + "\n"};
+    response.headers.add("Content-Type", "text/plain; charset=utf-8");
+    response.headers.add("Retry-After", "1");
+    return response;
+}
+
+}  // namespace
 
 struct Server::Connection final : net::StreamEvents, std::enable_shared_from_this<Connection> {
     enum class Phase {
@@ -13,6 +29,7 @@
 
     Connection(Server& s, std::uint64_t number, std::unique_ptr<net::Stream> from)
         : server(s), id(number), stream(std::move(from)), parser(Parser::Kind::request, s.options_.limits) {
+        stream->set_input_budget(server.input_budget_);
         stream->events(*this);
         enter(Phase::idle);
     }
@@ -21,7 +38,24 @@
     }
 
     void on_data(Buffer& in) override {
-        while (phase == Phase::idle || phase == Phase::header || phase == Phase::body) {
+        const auto self = shared_from_this();  // a handler may close this connection
+        read_requests(in);
+        if (!stream)
+            return;
+        in.release_spare_capacity();
+        const bool incomplete = phase == Phase::header || phase == Phase::body;
+        server.input_budget_.update(id, in.memory() + (incomplete ? parser.held_bytes() : 0), incomplete);
+        server.discard_excess_input();
+    }
+
+    // A client that does not read its responses gets no more of them: its requests wait in the stream.
+    bool must_read_first() const {
+        return phase == Phase::idle && stream->unsent() > kMaxUnsentBetweenRequests;
+    }
+
+    void read_requests(Buffer& in) {
+        while (!must_read_first() &&
+               (phase == Phase::idle || phase == Phase::header || phase == Phase::body)) {
             if (!parser.feed(in)) {
                 if (parser.head_done() && phase != Phase::body) {
                     if (parser.expects_continue())
@@ -42,8 +76,7 @@
             close_after = !parser.keep_alive();
             Request request = std::move(parser.request());
             request.peer = stream->peer();
-            const auto self = shared_from_this();  // the handler may close this connection
-            server.handler_(request, Reply(self, ++serial));
+            server.handler_(request, Reply(weak_from_this(), ++serial));
             if (!stream)
                 return;
         }
@@ -60,6 +93,13 @@
         }
         const bool close = close_after || server.draining_;
         std::string text = write(response, close, head_only);
+        if (text.size() > kSmallResponseBytes &&
+            server.unsent_bytes_ + text.size() > server.options_.unsent_bytes) {
+            ++server.counts_.replaced;
+            text =
+                write(lacks_memory_response("too many responses are not read: try again"), close, head_only);
+        }
+        count_unsent(counted_unsent + text.size());
         if (server.faults_.cuts && server.faults_.cuts()) {
             stream->send(text.substr(0, text.size() / 2));
             disconnected = nullptr;
@@ -92,12 +132,28 @@
     void respond_and_close(int status, const std::string& error) {
         Response r{status, {}, error + "\n"};
         r.headers.add("Content-Type", "text/plain; charset=utf-8");
+        respond_and_close(r);
+    }
+    void respond_and_close(const Response& response) {
         close_after = true, head_only = false;
-        respond(r);
+        respond(response);
+    }
+    void discard_request() {
+        ++server.counts_.discarded;
+        server.input_budget_.remove(id);
+        stream->discard_input();
+        parser.reset();
+        respond_and_close(lacks_memory_response("the requests of all clients are too long: try again"));
+    }
+    void count_unsent(std::size_t bytes) {
+        server.unsent_bytes_ = server.unsent_bytes_ - counted_unsent + bytes;
+        counted_unsent = bytes;
     }
     void on_sent() override {
+        count_unsent(0);
         if (phase == Phase::closing)
-            end();
+            return end();
+        stream->schedule_delivery();
     }
     void on_closed(net::Closed how) override {
         if (how == net::Closed::reset)
@@ -106,6 +162,8 @@
     }
     void end() {
         const auto self = shared_from_this();
+        count_unsent(0);
+        server.input_budget_.remove(id);
         stream.reset();
         server.loop_.cancel(std::exchange(timer, 0));
         server.connections_.erase(id);
@@ -168,6 +226,7 @@
     std::uint64_t serial = 0;
     Micros deadline = 0, timer_due = 0;
     std::size_t unsent = 0;
+    std::size_t counted_unsent = 0;  // of the server's unsent_bytes_
     net::TimerId timer = 0;
     std::function<void()> disconnected;
 };
@@ -201,7 +260,7 @@
 }
 
 Server::Server(net::Loop& loop, ServerOptions options, Handler handler)
-    : loop_(loop), options_(options), handler_(std::move(handler)) {}
+    : loop_(loop), options_(options), handler_(std::move(handler)), input_budget_(options.input_bytes) {}
 
 Server::~Server() {
     for (auto& [id, connection] : connections_) {
@@ -230,6 +289,13 @@
     connections_.emplace(id, std::make_shared<Connection>(*this, id, std::move(stream)));
 }
 
+void Server::discard_excess_input() {
+    while (const auto largest = input_budget_.select_discard()) {
+        const auto connection = connections_.at(*largest);
+        connection->discard_request();
+    }
+}
+
 void Server::suppress_responses(bool on) {
     if (!std::exchange(suppress_responses_, on) || on)
         return;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "http/parser.hpp"
+#include "net/input_budget.hpp"
 #include "net/loop.hpp"
 
 namespace gatetiller::http {
@@ -18,11 +19,18 @@
     Micros idle_time_out = 75 * kSecondMicros;    // between two requests
     Micros write_time_out = 30 * kSecondMicros;   // without progress of the client in reading a response
     std::size_t connections = 20'000;             // maximum; further ones are closed immediately
+    // Bytes of incomplete requests of all connections, beyond which the largest ones are answered with 503.
+    std::size_t input_bytes = 64 * 1024 * 1024;
+    // Bytes of responses of all connections that the kernel has not accepted, beyond which large ones are
+    // replaced by 503.
+    std::size_t unsent_bytes = 256 * 1024 * 1024;
 };
 
 struct ServerCounts {  // separate counters for each cause of an end
     std::uint64_t accepted = 0, over_limit = 0, requests = 0, malformed = 0, header_timed_out = 0,
                   body_timed_out = 0, idle_timed_out = 0, write_timed_out = 0, reset = 0;
+    // Requests that were discarded, and responses that were replaced by 503, for lack of memory.
+    std::uint64_t discarded = 0, replaced = 0;
 };
 
 class Server {
@@ -83,12 +91,17 @@
     std::size_t connections() const {
         return connections_.size();
     }
+    // Bytes of memory that hold requests which are not complete or not handled yet.
+    std::size_t input_bytes() const {
+        return input_budget_.held();
+    }
     const ServerCounts& counts() const {
         return counts_;
     }
 
 private:
     void accept(std::unique_ptr<net::Stream> stream);
+    void discard_excess_input();
 
     net::Loop& loop_;
     ServerOptions options_;
@@ -97,6 +110,8 @@
     ResponseFaults faults_;
     std::uint64_t last_ = 0;
     ServerCounts counts_;
+    net::InputBudget input_budget_;
+    std::size_t unsent_bytes_ = 0;  // of responses, each counted until the last of its connection is sent
     std::vector<std::unique_ptr<net::Listener>> listeners_;
     std::map<std::uint64_t, std::shared_ptr<Connection>> connections_;
 };
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "base/await.hpp"
 #include "http/client.hpp"
 #include "net/poll_loop.hpp"
@@ -218,5 +220,108 @@
     EXPECT_NE(::access(path.c_str(), F_OK), 0);  // the server removes its socket file
 }
 
+// ---- What clients make the server hold
+
+constexpr std::size_t kPartBytes = 200'000;  // of a request body of twice that size
+
+std::string unfinished_request() {
+    return "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(2 * kPartBytes) +
+           "\r\n\r\n" + std::string(kPartBytes, 'x');
+}
+
+// Guards against memory without limit for many clients with unfinished requests (review case 10, in serve).
+TEST_F(ServerTest, ManyUnfinishedRequestsStayWithinTheLimitAndOthersAreServed) {
+    constexpr std::size_t kClients = 20;
+    constexpr std::size_t kReadAtOnce = 64 * 1024;
+    start({.input_bytes = 5 * kPartBytes});
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (std::size_t i = 0; i < kClients; ++i) {
+        clients.push_back(std::make_unique<RawClient>(loop, address));
+        clients.back()->stream->send(unfinished_request());
+    }
+    std::size_t most_held = 0;
+    ASSERT_TRUE(until([&] {
+        most_held = std::max(most_held, server->input_bytes());
+        return server->counts().discarded >= kClients - 5;
+    }));
+    EXPECT_LE(most_held, 5 * kPartBytes + kClients * net::InputBudget::kAllowanceBytes + 2 * kReadAtOnce);
+    RawClient ordinary(loop, address);
+    ordinary.stream->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(until([&] {
+        return ordinary.count("HTTP/1.1 200") == 1;
+    }));
+    ASSERT_TRUE(until([&] {
+        return std::ranges::count_if(clients, [](const auto& client) {
+                   return client->closed.has_value();
+               }) == static_cast<std::ptrdiff_t>(server->counts().discarded);
+    }));
+    // A reset may overtake the response where more of the request was on its way.
+    EXPECT_LE(server->connections(), 5u + 1);
+}
+
+// Guards against responses without limit for a client that sends many requests and reads nothing.
+TEST_F(ServerTest, HandlesNoFurtherRequestOfAClientThatDoesNotReadItsResponses) {
+    constexpr std::size_t kRequests = 100;
+    constexpr std::size_t kResponseBytes = 4 << 20;  // more than the kernel's buffers hold
+    std::size_t handled = 0;
+    server = std::make_unique<Server>(loop, ServerOptions{}, [&](Request&, Server::Reply reply) {
+        ++handled;
+        reply.send({200, {}, std::string(kResponseBytes, 'x')});
+    });
+    address = *server->listen(*net::Address::parse("127.0.0.1:0"));
+    RawClient raw(loop, address);
+    raw.stream->read(false);
+    for (std::size_t i = 0; i < kRequests; ++i)
+        raw.stream->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(until([&] {
+        return handled > 0;
+    }));
+    for (int turn = 0; turn < 200; ++turn)
+        loop.turn(kMillisecond);
+    EXPECT_LT(handled, 10u);
+    raw.stream->read(true);
+    ASSERT_TRUE(until([&] {
+        return raw.received.size() > kRequests * kResponseBytes;
+    }));
+    EXPECT_EQ(handled, kRequests);
+}
+
+// Guards against responses without limit for many clients that read nothing.
+TEST_F(ServerTest, ReplacesLargeResponsesWhileTooManyAreNotRead) {
+    constexpr std::size_t kClients = 10;
+    constexpr std::size_t kResponseBytes = 8 << 20;
+    server = std::make_unique<Server>(loop, ServerOptions{.unsent_bytes = 3 * kResponseBytes},
+                                      [&](Request&, Server::Reply reply) {
+                                          reply.send({200, {}, std::string(kResponseBytes, 'x')});
+                                      });
+    address = *server->listen(*net::Address::parse("127.0.0.1:0"));
+    std::vector<std::unique_ptr<RawClient>> clients;
+    const auto send_request = [](RawClient& client) {
+        client.stream->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    };
+    for (std::size_t i = 0; i < kClients; ++i) {
+        clients.push_back(std::make_unique<RawClient>(loop, address));
+        clients.back()->stream->read(false);
+        send_request(*clients.back());
+    }
+    ASSERT_TRUE(until([&] {
+        return server->counts().requests == kClients;
+    }));
+    EXPECT_EQ(server->counts().replaced, kClients - 2);
+    for (const auto& client : clients)
+        client->stream->read(true);
+    ASSERT_TRUE(until([&] {
+        return std::ranges::all_of(clients, [](const auto& client) {
+            return client->received.size() > kResponseBytes || client->count("HTTP/1.1 503") == 1;
+        });
+    }));
+    RawClient afterwards(loop, address);
+    send_request(afterwards);
+    ASSERT_TRUE(until([&] {
+        return afterwards.received.size() > kResponseBytes;
+    }));
+    EXPECT_EQ(afterwards.count("HTTP/1.1 200"), 1u);
+}
+
 }  // namespace
 }  // namespace gatetiller::http
