serve: limit the bytes of all accepted statements, not only their number

What callers can see: 50,000 statements of up to 1 MiB each may be accepted, 50 GB of text. Cause: StatementLimits bounds one statement's text and the number of statements, nothing bounds the product. Change: total_statement_bytes, 256 MiB; beyond it a statement is rejected like one beyond the number of statements (429 with Retry-After). Released with the statement.

--- a/src/decide/statement_admission.hpp
+++ b/src/decide/statement_admission.hpp
@@ -2,7 +2,7 @@
 //
 // The limits bound the memory of the gateway: a burst of statements or one slow reader uses at most a fixed
 // part of it. Invariant: statements() and the number of each user equal the statements admitted and not
-// released.
+// released, and their bytes those of the texts of these statements.
 #pragma once
 
 #include <cstddef>
@@ -20,6 +20,8 @@
     std::size_t statements_per_user = 20'000;
     // Bytes of one statement's text.
     std::size_t statement_bytes = 1 << 20;
+    // Bytes of the texts of all statements.
+    std::size_t total_statement_bytes = 256 << 20;
     // Bytes of one statement's buffered rows from which on no more are fetched from its engine.
     std::size_t row_buffer_bytes = 2 << 20;
     // Bytes of rows buffered for all statements.
@@ -31,7 +33,7 @@
 enum class AdmissionVerdict {
     // The statement is admitted and counted.
     admitted,
-    // The gateway has StatementLimits::statements.
+    // The gateway has StatementLimits::statements, or total_statement_bytes would be exceeded.
     gateway_full,
     // The user has StatementLimits::statements_per_user.
     user_limit_reached,
@@ -45,8 +47,9 @@
 
     // Decides on a statement of `user` with a text of `text_bytes` bytes, and counts it if it is admitted.
     AdmissionVerdict admit(const std::string& user, std::size_t text_bytes);
-    // An admitted statement of `user` is finished. Precondition: there is one.
-    void release(const std::string& user);
+    // An admitted statement of `user` with a text of `text_bytes` bytes is finished. Precondition: there is
+    // one.
+    void release(const std::string& user, std::size_t text_bytes);
 
     // Whether a statement with `buffered` bytes of rows, of `total_buffered` at this gateway, may fetch more
     // from its engine. Beyond the total limit only statements with an empty buffer may, one page at a time,
@@ -67,6 +70,7 @@
 private:
     StatementLimits limits_;
     std::size_t statements_ = 0;
+    std::size_t statement_bytes_ = 0;
     std::map<std::string, std::size_t> statements_by_user_;
 };
 
--- a/src/front/statement_completion.cpp
+++ b/src/front/statement_completion.cpp
@@ -89,7 +89,7 @@
 
 // The statement is not released while an attempt is in flight.
 void StatementCompletion::finish(ActiveStatement& statement) {
-    services_.intake.release(statement.submission.context.user);
+    services_.intake.release(statement.submission);
     const Micros now = services_.loop.now();
     const Micros ended_at = statement.ended_at > 0 ? statement.ended_at : now;
     const FinishedStatement record = record_of(statement, ended_at, now);
--- a/src/front/statement_intake.hpp
+++ b/src/front/statement_intake.hpp
@@ -36,8 +36,8 @@
 
     // An accepted statement counts towards its user's limit until `release`.
     std::variant<AcceptedStatement, Rejection> admit(const statement::Submission& submission);
-    void release(const std::string& user) {
-        admission_.release(user);
+    void release(const statement::Submission& submission) {
+        admission_.release(submission.context.user, submission.sql.size());
     }
     // Returns whether more rows of a statement may be requested from its engine. `waiting_bytes`,
     // `total_waiting_bytes`: size of the rows that wait for its client and for all clients.
