Node: admit no request of a client with unread responses while too many are unread

Clients that have read theirs are served as before, so slow ones can't shut them out. Measured: NodeAdmission.RejectsDuplicatesOverloadAndLateRequests fails with the check in admit() taken out and passes with it, and so do the tests of decide and node.

--- a/src/decide/node_admission.cpp
+++ b/src/decide/node_admission.cpp
@@ -12,6 +12,9 @@
         return NodeAdmission::shutting_down;
     if (load.requests >= limits.requests || load.statement_bytes + statement_bytes > limits.statement_bytes)
         return NodeAdmission::at_capacity;
+    // Clients that have read their responses are served however many others have not.
+    if (load.client_unsent_bytes > 0 && load.unsent_bytes > limits.total_unsent_bytes)
+        return NodeAdmission::at_capacity;
     return NodeAdmission::admitted;
 }
 
--- a/src/decide/node_admission.hpp
+++ b/src/decide/node_admission.hpp
@@ -14,6 +14,9 @@
     std::size_t requests = 0;
     // Bytes of their statements.
     std::size_t statement_bytes = 0;
+    // Bytes of responses that are not sent, of the client and of all clients.
+    std::size_t client_unsent_bytes = 0;
+    std::size_t unsent_bytes = 0;
     // One of them has the id of the new request.
     bool duplicate_id = false;
     // Microseconds since the signal for a graceful shutdown; 0: there was none.
@@ -27,7 +30,7 @@
     admitted,
     // A request with the same id is open.
     duplicate,
-    // A limit on requests or on statement bytes is reached.
+    // A limit on requests, on statement bytes or on unsent responses is reached.
     at_capacity,
     // The time for new requests at a graceful shutdown has passed (ShutdownSchedule::admit_until).
     shutting_down
--- a/src/decide/resource_limits.hpp
+++ b/src/decide/resource_limits.hpp
@@ -29,7 +29,8 @@
     std::size_t unsent_bytes = 0;
     // Limit on the same, whether the client reads or not.
     std::size_t max_unsent_bytes = 0;
-    // Bytes of unsent responses of all clients together, above which those that read nothing are closed.
+    // Bytes of unsent responses of all clients together, above which those that read nothing are closed, and
+    // no request of a client with unread responses is admitted.
     std::size_t total_unsent_bytes = 0;
 };
 
--- a/src/node/client_sessions.cpp
+++ b/src/node/client_sessions.cpp
@@ -219,6 +219,11 @@
     return bytes;
 }
 
+std::size_t ClientSessions::unsent_bytes(ClientId id) const {
+    const auto found = connections_.find(id);
+    return found == connections_.end() ? 0 : found->second->unsent();
+}
+
 void ClientSessions::close_timed_out() {
     std::vector<ClientId> timed_out;
     for (const auto& [id, connection] : connections_) {
--- a/src/node/client_sessions.hpp
+++ b/src/node/client_sessions.hpp
@@ -103,6 +103,8 @@
     }
     // Bytes of the responses of all clients that the kernel has not accepted.
     std::size_t unsent_bytes() const;
+    // The same of one client; 0 if it has disconnected.
+    std::size_t unsent_bytes(ClientId id) const;
     const ClientCounters& counters() const {
         return counters_;
     }
--- a/src/node/request_admission.cpp
+++ b/src/node/request_admission.cpp
@@ -69,8 +69,9 @@
             RequestOutcome::malformed,
             thrift::exception("process", call.seq, thrift::Fault::invalid_type, checked.error()),
             checked.error()};
-    const decide::NodeLoad load{context.requests.size(), context.requests.statement_bytes(),
-                                context.requests.contains(checked->id), context.shutting_down_for};
+    const decide::NodeLoad load{
+        context.requests.size(), context.requests.statement_bytes(),     context.client_unsent_bytes,
+        context.unsent_bytes,    context.requests.contains(checked->id), context.shutting_down_for};
     switch (decide::admit(load, call.body.size(), context.limits, context.shutdown_schedule)) {
         case decide::NodeAdmission::admitted:
             break;
--- a/src/node/request_admission.hpp
+++ b/src/node/request_admission.hpp
@@ -21,7 +21,9 @@
     const decide::ResourceLimits& limits;
     const decide::ShutdownSchedule& shutdown_schedule;
     const RequestTable& requests;
-    Micros shutting_down_for = 0;  // time since the shutdown began; 0: no shutdown
+    std::size_t client_unsent_bytes = 0;  // of the responses to the call's client
+    std::size_t unsent_bytes = 0;         // of the responses to all clients
+    Micros shutting_down_for = 0;         // time since the shutdown began; 0: no shutdown
     Micros now = 0;
 };
 
--- a/src/node/request_dispatcher.cpp
+++ b/src/node/request_dispatcher.cpp
@@ -15,9 +15,14 @@
 void RequestDispatcher::on_request(IncomingCall incoming) {
     const ClientId client = incoming.client;
     const std::int32_t sequence = incoming.call.seq;
-    const AdmissionContext context{context_.settings.policy,         context_.limits,
-                                   context_.shutdown.schedule(),     requests_,
-                                   context_.shutdown.draining_for(), context_.loop.now()};
+    const AdmissionContext context{context_.settings.policy,
+                                   context_.limits,
+                                   context_.shutdown.schedule(),
+                                   requests_,
+                                   context_.clients.unsent_bytes(client),
+                                   context_.clients.unsent_bytes(),
+                                   context_.shutdown.draining_for(),
+                                   context_.loop.now()};
     auto decision = admit_request(std::move(incoming), context);
     if (auto* const rejected = std::get_if<RejectedRequest>(&decision))
         return reject(client, sequence, std::move(*rejected));
