Node: do not use a connection that the rejection of its discarded request has closed

What callers could see: a crash. If the rejection of a discarded request takes its connection over the limit on unsent responses, the connection is closed and destroyed, and on_data went on with it. Cause: on_data looked whether the connection still exists only after reading messages, not after the discarded one. Change: it looks after both. Measured: under AddressSanitizer, ClientInput.RejectionOfADiscardedRequestMayCloseItsConnection ends with heap-use-after-free before; after, the five ClientInput tests pass 5 times in a row sanitized.

--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -26,6 +26,8 @@
 void ClientSessions::Connection::on_data(Buffer& in) {
     const std::weak_ptr<char> alive = alive_;
     skip_discarded_message(in);
+    if (alive.expired())
+        return;
     if (!discarded_message_)
         read_messages(in);
     if (alive.expired())
--- a/tests/node/client_input_test.cpp
+++ b/tests/node/client_input_test.cpp
@@ -30,7 +30,7 @@
             sessions.respond(id, call.seq, thrift::answer("process", call.seq, "row"));
         };
         events.on_discarded = [this](node::ClientId id, std::int32_t sequence) {
-            sessions.respond(id, sequence, thrift::rejected(sequence, {}));
+            sessions.respond(id, sequence, thrift::rejected(sequence, {}) + rejection_padding);
         };
         events.on_cancelled = [](node::ClientId, std::int32_t) {};
         events.on_closed = [](node::ClientId, const std::string&, decide::CloseReason,
@@ -77,6 +77,7 @@
 
     net::PollLoop loop{{.input = 98'304}};
     const decide::ResourceLimits limits = decide::derive_limits(256, kMemoryMb);
+    std::string rejection_padding;
     std::vector<std::string> bodies;
     std::vector<std::unique_ptr<RawSocket>> clients;
     std::size_t most_held = 0;
@@ -129,6 +130,23 @@
     EXPECT_EQ(violations, 0);
 }
 
+// Guards against the use of a connection that the rejection of its discarded request has closed.
+TEST_F(ClientInput, RejectionOfADiscardedRequestMayCloseItsConnection) {
+    rejection_padding = std::string(limits.max_unsent_bytes + 1, 'x');
+    const std::string large = request(1, std::string(kLargeBodyBytes, 'x'));
+    send_to_all(std::string_view(large).substr(0, large.size() - 1));
+    ASSERT_TRUE(await(loop, [&] {
+        return sessions.counters().discarded > kClients / 2;
+    }));
+    for (const auto& client : clients)
+        client->send(large.substr(large.size() - 1) + request(2, "SELECT 2"));
+    ASSERT_TRUE(await(loop, [&] {
+        const auto slow_readers =
+            sessions.counters().closed[static_cast<std::size_t>(decide::CloseReason::slow_reader)];
+        return slow_readers > kClients / 2 && 2 * sessions.connections() == bodies.size();
+    }));
+}
+
 // Guards against input without limit from many clients that send hundreds of small messages at once.
 TEST_F(ClientInput, ManySmallMessagesAtOnceStayWithinTheLimit) {
     constexpr std::int32_t kAnswersEach = 4'000;
