Node: discard an unfinished message that may not be read further

What callers could see: while unfinished messages of many clients exceed the input budget, a request of over 4 KiB gets no answer, and none of those clients is ever timed out. Cause: beyond the budget a stream buffers up to kAllowanceBytes, and only messages of more than that were discarded. One of exactly that size was neither read further nor discarded; as bytes of it stay unread, has_timed_out() spares it. Change: a message of kAllowanceBytes is discarded too. InputBudget.KeepsIncompleteMessagesWithinTheAllowance had that very size as one to be kept, which asks for the fault; it now keeps one byte less, and a new test discards that size.

--- a/src/net/input_budget.cpp
+++ b/src/net/input_budget.cpp
@@ -17,9 +17,9 @@
     if (!exceeded())
         return std::nullopt;
     std::optional<Holder> largest;
-    std::size_t most = kAllowanceBytes;
+    std::size_t most = 0;
     for (const auto& [holder, held] : by_holder_) {
-        if (!held.discardable || held.bytes <= most)
+        if (!held.discardable || held.bytes < kAllowanceBytes || held.bytes <= most)
             continue;
         most = held.bytes;
         largest = holder;
--- a/src/net/input_budget.hpp
+++ b/src/net/input_budget.hpp
@@ -41,8 +41,8 @@
         return held_ > limit_;
     }
     // Returns the connection with the largest incomplete message if the budget is exceeded, or nothing if it
-    // is not, or if none holds more than kAllowanceBytes of one: then complete messages wait, which are
-    // handled soon.
+    // is not, or if each holds less than kAllowanceBytes of one and so goes on reading. One that holds as
+    // much as that would read no more until the others end.
     std::optional<Holder> select_discard() const;
 
 private:
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -62,7 +62,7 @@
     const bool incomplete = !deferred_ && !malformed_ && !state_.closing;
     sessions_.input_budget_.update(id_, held, incomplete);
     partial_message_.reset();
-    if (incomplete && held > net::InputBudget::kAllowanceBytes)
+    if (incomplete && held >= net::InputBudget::kAllowanceBytes)
         partial_message_ = PartialMessage{thrift::read_call_head(in.view()), in.size()};
 }
 
--- a/src/node/client_connection.hpp
+++ b/src/node/client_connection.hpp
@@ -112,7 +112,7 @@
     Micros deferred_since_ = 0;  // since when the deferred messages have waited; 0: none are deferred
     Micros waiting_since_ = 0;   // since when the messages of this turn have waited; 0: since they arrived
     Micros unread_until_ = 0;    // unread bytes are assumed until then or until bytes are read
-    // Set while more than InputBudget::kAllowanceBytes of an incomplete message are held.
+    // Set while InputBudget::kAllowanceBytes or more of an incomplete message are held.
     std::optional<PartialMessage> partial_message_;
     std::optional<DiscardedMessage> discarded_message_;
     std::shared_ptr<char> alive_ = std::make_shared<char>();
--- a/tests/net/input_budget_test.cpp
+++ b/tests/net/input_budget_test.cpp
@@ -24,12 +24,20 @@
 // Guards against discarding small messages where complete ones that wait hold the memory.
 TEST(InputBudget, KeepsIncompleteMessagesWithinTheAllowance) {
     InputBudget budget(kLarge);
-    budget.update(1, InputBudget::kAllowanceBytes, true);
+    budget.update(1, InputBudget::kAllowanceBytes - 1, true);
     budget.update(2, kLarge, false);
     EXPECT_TRUE(budget.exceeded());
     EXPECT_EQ(budget.select_discard(), std::nullopt);
 }
 
+// Guards against a message that is neither read further nor discarded while the budget is exceeded.
+TEST(InputBudget, SelectsAMessageThatMayNotBeReadFurther) {
+    InputBudget budget(kLarge);
+    budget.update(1, InputBudget::kAllowanceBytes, true);
+    budget.update(2, kLarge, false);
+    EXPECT_EQ(budget.select_discard(), 1u);
+}
+
 // Guards against a connection that keeps the memory of its largest message.
 TEST(InputBudget, BufferReleasesTheMemoryOfWhatWasConsumed) {
     Buffer buffer;
