Node: request the pages of results within a limit on their memory

Cause: all pages of a result were requested as soon as its first page came. Change: node::ResultBudget, a sixteenth of the memory. The pages after the first are requested once all of them have a reservation; results wait for one in order, and it is returned when the result is complete or its request ends in any way. result_bytes and waited_for_result_memory in the status line. A first page is part of the 8 KiB of a request. Why it works: an engine sends pages only when asked; one result always has its reservation, so the wait ends.

--- a/src/decide/engine_exchange.cpp
+++ b/src/decide/engine_exchange.cpp
@@ -100,6 +100,10 @@
     return PageVerdict::accepted;
 }
 
+std::size_t ResultPages::max_missing_bytes() const {
+    return std::min(missing_ * kMaxPageBytes, kMaxResultBytes - bytes_);
+}
+
 std::string ResultPages::take_rows() {
     std::string rows;
     rows.reserve(bytes_);
--- a/src/decide/engine_exchange.hpp
+++ b/src/decide/engine_exchange.hpp
@@ -110,6 +110,8 @@
     std::size_t pages() const {
         return pages_.size();
     }
+    // Returns the maximum size in bytes of the pages that are missing.
+    std::size_t max_missing_bytes() const;
     // Returns the rows of all pages in order and clears the pages. Precondition: complete().
     std::string take_rows();
 
--- a/src/decide/resource_limits.cpp
+++ b/src/decide/resource_limits.cpp
@@ -39,6 +39,7 @@
     limits.statement_bytes = memory / 8;
     limits.requests = std::clamp(memory / 4 / kBytesPerRequest, kMinRequests, kMaxRequests);
     limits.input_bytes = memory / 16;
+    limits.result_bytes = memory / 16;
     limits.unsent_bytes = std::max(kMinUnsentBytes, memory / 32);
     limits.max_unsent_bytes = std::max(kMinMaxUnsentBytes, 4 * limits.unsent_bytes);
     limits.total_unsent_bytes = memory / 4;
--- a/src/node/connection_pool.hpp
+++ b/src/node/connection_pool.hpp
@@ -15,6 +15,7 @@
 #include <string>
 
 #include "net/loop.hpp"
+#include "node/result_budget.hpp"
 
 namespace gatetiller::node {
 
@@ -45,7 +46,7 @@
     };
 
     // The loop must outlive the pool, and the pool all connections and waiters.
-    explicit ConnectionPool(net::Loop& loop) : loop_(loop) {}
+    explicit ConnectionPool(net::Loop& loop) : results(loop), loop_(loop) {}
     ~ConnectionPool() {
         loop_.cancel(serve_timer_);
     }
@@ -76,6 +77,9 @@
     // Logs the start and the end of each connection. May be absent.
     std::function<void(const std::string&)> trace;
 
+    // Shared by the results that arrive on all connections.
+    ResultBudget results;
+
     // Counters since the start.
     std::uint64_t opened = 0;
     std::uint64_t refused = 0;              // refused, unreachable or not established in time
--- a/src/node/endpoint_registry.cpp
+++ b/src/node/endpoint_registry.cpp
@@ -34,7 +34,7 @@
       pool_(loop),
       list_(deps.faults->accepts_restarted_serials()),
       wall_offset_(loop.wall() - loop.now()) {
-    refresh_connection_limit();
+    refresh_resource_limits();
     pool_.trace = deps_.trace;
 }
 
@@ -42,8 +42,9 @@
     loop_.cancel(discard_timer_);
 }
 
-void EndpointRegistry::refresh_connection_limit() {
+void EndpointRegistry::refresh_resource_limits() {
     pool_.set_max_connections(limits_.engine_connections);
+    pool_.results.set_limit(limits_.result_bytes);
 }
 
 // ---- Updates of the endpoint list
--- a/src/node/endpoint_registry.hpp
+++ b/src/node/endpoint_registry.hpp
@@ -69,8 +69,8 @@
     // Confirms the current list from a response of which only the serial was read. Returns false if the
     // response must be applied completely: it has another serial, or an endpoint is in doubt.
     bool confirm(std::uint64_t serial);
-    // Applies a changed limit on engine connections.
-    void refresh_connection_limit();
+    // Applies changed limits on engine connections and on the memory of results.
+    void refresh_resource_limits();
 
     // ---- Engines
 
--- a/src/node/engine_connection.cpp
+++ b/src/node/engine_connection.cpp
@@ -262,11 +262,18 @@
     exchange.result_.work_ms = cost.work_ms;
     exchange.result_.needed_mb = cost.needed_mb;
     exchange.result_.load_report = read_load_report(fields);
-    for (std::size_t page = 1; page < exchange.pages_.pages(); ++page)
-        send(resp::array({"page", response.id, std::to_string(page)}));
+    if (!exchange.pages_.complete())
+        pool_.results.reserve(exchange.reservation_, exchange.pages_.max_missing_bytes(), [this, &exchange] {
+            request_further_pages(exchange);
+        });
     return finish_if_complete(exchange);
 }
 
+void EngineConnection::request_further_pages(Exchange& exchange) {
+    for (std::size_t page = 1; page < exchange.pages_.pages(); ++page)
+        send(resp::array({"page", exchange.id_, std::to_string(page)}));
+}
+
 bool EngineConnection::on_further_page(Exchange& exchange, const decide::ResponseFields& fields,
                                        const EngineResponse& response) {
     const auto number = read_page_number(fields);
@@ -342,6 +349,7 @@
     open_.erase(exchange.id_);
     std::erase(unsent_, &exchange);
     exchange.connection_ = nullptr;
+    exchange.reservation_.release();
     last_used_at_ = loop_.now();
     owner_.on_request_ended();  // first, as the pool may close an idle connection for another engine
     if (open_.empty())
@@ -349,8 +357,10 @@
 }
 
 void EngineConnection::detach_all() {
-    for (const auto& [id, exchange] : open_)
+    for (const auto& [id, exchange] : open_) {
         exchange->connection_ = nullptr;
+        exchange->reservation_.release();
+    }
 }
 
 // Removes a cancelled request and retires the connection: a late response to its id must not count for
@@ -421,6 +431,7 @@
             progress = WriteProgress::partial;
         ended.emplace_back(&exchange->events_, decide::classify_connection_end(end, progress));
         exchange->connection_ = nullptr;
+        exchange->reservation_.release();
     }
     unsent_.clear();
     if (has_unacknowledged_bytes())
--- a/src/node/engine_connection.hpp
+++ b/src/node/engine_connection.hpp
@@ -103,6 +103,7 @@
     bool on_progress(Exchange& exchange, const decide::ResponseFields& fields);
     bool on_first_page(Exchange& exchange, const decide::ResponseFields& fields,
                        const EngineResponse& response);
+    void request_further_pages(Exchange& exchange);
     bool on_further_page(Exchange& exchange, const decide::ResponseFields& fields,
                          const EngineResponse& response);
     bool on_failure(Exchange& exchange, const decide::ResponseFields& fields, const EngineResponse& response);
--- a/src/node/exchange.hpp
+++ b/src/node/exchange.hpp
@@ -11,6 +11,7 @@
 
 #include "decide/engine_exchange.hpp"
 #include "net/loop.hpp"
+#include "node/result_budget.hpp"
 #include "policy/gateway_policy.hpp"
 
 namespace gatetiller::node {
@@ -79,7 +80,8 @@
     Micros written_at_ = 0;  // when the request was encoded with the time left at that moment
     std::vector<net::SendId> priority_changes_;  // queued behind the request
     decide::ResultPages pages_;
-    decide::ExchangeResult result_;  // from the first page; valid once all pages have arrived
+    ResultBudget::Reservation reservation_;  // for the pages after the first
+    decide::ExchangeResult result_;          // from the first page; valid once all pages have arrived
 };
 
 }  // namespace gatetiller::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -190,7 +190,7 @@
         settings_.memory_mb = settings.memory_mb;
         limits_ = decide::derive_limits(settings.sockets, settings.memory_mb);
         clients_.set_limits(limits_);
-        endpoints_.refresh_connection_limit();
+        endpoints_.refresh_resource_limits();
         deps_.log(limits_text());
     }
     if (settings.settings_text != settings_.settings_text || settings.listen != settings_.listen ||
--- a/src/node/status_report.cpp
+++ b/src/node/status_report.cpp
@@ -67,7 +67,9 @@
            counter_text("discarded", pool.discarded) + counter_text("unsolicited", pool.unsolicited) +
            counter_text("idle_connections_closed", pool.evicted) +
            counter_text("waited_for_connection", pool.waited) +
-           counter_text("connection_wait_timeouts", pool.wait_timeouts);
+           counter_text("connection_wait_timeouts", pool.wait_timeouts) +
+           counter_text("result_bytes", pool.results.reserved_bytes()) +
+           counter_text("waited_for_result_memory", pool.results.waited());
 }
 
 }  // namespace
--- a/tests/decide/resource_limits_test.cpp
+++ b/tests/decide/resource_limits_test.cpp
@@ -18,5 +18,16 @@
     EXPECT_LE(derive_limits(256, 32).statement_bytes, 32u << 18);
 }
 
+// Guards against shares that together exceed the memory: a quarter is left for everything else.
+TEST(ResourceLimits, SharesOfTheMemoryFitIntoThreeQuarters) {
+    constexpr std::size_t kBytesPerRequest = 8192;
+    for (const std::int64_t memory_mb : {32, 48, 192, 2048}) {
+        const auto limits = derive_limits(1024, memory_mb);
+        const std::size_t shares = limits.statement_bytes + limits.requests * kBytesPerRequest +
+                                   limits.input_bytes + limits.result_bytes + limits.total_unsent_bytes;
+        EXPECT_LE(shares, static_cast<std::size_t>(memory_mb) * 3 / 4 << 20) << memory_mb;
+    }
+}
+
 }  // namespace
 }  // namespace gatetiller::decide
