serve: limit the memory of results that clients do not fetch

The process may be killed for memory. Cause: rows_in_all only stops statements that have rows waiting, and the latest documents were in no sum. Change: rows that wait and latest documents of active statements are bounded by twice rows_in_all (1 GiB by default). Beyond it those statements end whose clients have not asked for longest, with GENERIC_INSUFFICIENT_RESOURCES, until an eighth is free; their rows are dropped whole, so none gets a part as a result. Why it works: every byte of a result is added and taken off in ServerSide; the oldest are ended in the next turn.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -361,6 +361,8 @@
         read_limits(r, f);
     });
     f.server.limits.body = f.holding.statement_bytes;
+    // Beside the rows that wait, a document that was given out is kept for each statement.
+    f.statements.result_bytes = 2 * f.holding.total_row_buffer_bytes;
     top.object("times", [&](Reader& r) {
         read_times(r, f);
     });
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -123,6 +123,8 @@
     gauges.connections = static_cast<double>(server_.connections());
     gauges.sensitive_share = driver_.sensitive_share();
     gauges.finished_statements = static_cast<double>(statement_api_.kept());
+    gauges.result_bytes = static_cast<double>(statement_api_.result_bytes());
+    gauges.evicted_results = static_cast<double>(statement_api_.evicted());
     http::Response response{kStatusOk, {}, metrics_.render_page(gauges)};
     response.headers.add("Content-Type", "text/plain; version=0.0.4");
     return response;
--- a/src/front/metrics.cpp
+++ b/src/front/metrics.cpp
@@ -90,6 +90,8 @@
     set_gauge("connections", gauges.connections);
     set_gauge("alpha", gauges.sensitive_share);
     set_gauge("finished_kept", gauges.finished_statements);
+    set_gauge("result_bytes", gauges.result_bytes);
+    set_gauge("results_evicted", gauges.evicted_results);
     return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
--- a/src/front/metrics.hpp
+++ b/src/front/metrics.hpp
@@ -25,6 +25,8 @@
         double connections = 0;          // client connections
         double sensitive_share = 0;      // of the policy; published as "alpha"
         double finished_statements = 0;  // statements whose final document is cached for repeated polls
+        double result_bytes = 0;  // size of rows that wait and of the latest documents of active statements
+        double evicted_results = 0;  // statements that failed since the start as result_bytes was too large
     };
 
     Metrics();
--- a/src/front/statement_completion.cpp
+++ b/src/front/statement_completion.cpp
@@ -69,8 +69,8 @@
         return;
     // Also replaces the outcome of a statement whose final document was ready: the record says which side
     // ended it.
-    statement->outcome =
-        reason == statement::Left::abandoned ? StatementOutcome::abandoned : StatementOutcome::cancelled;
+    const bool did_not_ask = reason == statement::Left::abandoned || reason == statement::Left::evicted;
+    statement->outcome = did_not_ask ? StatementOutcome::abandoned : StatementOutcome::cancelled;
     if (statement->ended_at == 0)
         statement->ended_at = services_.loop.now();
     statement->lifecycle.apply(decide::RequestEvent::client_disconnected);
--- a/src/statement/document.cpp
+++ b/src/statement/document.cpp
@@ -259,6 +259,7 @@
                                 {"NO_NODES_AVAILABLE", "INSUFFICIENT_RESOURCES", 65540},
                                 {"REMOTE_HOST_GONE", "INTERNAL_ERROR", 65544},
                                 {"SERVER_SHUTTING_DOWN", "INTERNAL_ERROR", 65548},
+                                {"GENERIC_INSUFFICIENT_RESOURCES", "INSUFFICIENT_RESOURCES", 131072},
                                 {"QUERY_QUEUE_FULL", "INSUFFICIENT_RESOURCES", 131074},
                                 {"EXCEEDED_TIME_LIMIT", "INSUFFICIENT_RESOURCES", 131075}};
     for (const Known& k : kKnown)
--- a/src/statement/server.cpp
+++ b/src/statement/server.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 constexpr Micros kSweep = kSecondMicros / 4;
-constexpr std::size_t kKeptOverhead = 1024;  // of a finished statement beside its document
+constexpr std::size_t kKeptOverhead = 1024;          // of a finished statement beside its document
+constexpr std::size_t kMinEvictedBytes = 16 * 1024;  // a statement that holds less is not worth an eviction
+constexpr std::size_t kEvictionDivisor = 8;  // an eviction goes on until this part of the limit is free
 constexpr std::string_view kStatement = "/v1/statement", kQuery = "/v1/query/", kInfo = "/v1/info";
 
 std::string day_stamp(Micros wall) {
@@ -49,6 +51,7 @@
 
 ServerSide::~ServerSide() {
     loop_.cancel(sweeping_);
+    loop_.cancel(eviction_timer_);
     for (auto& [id, s] : sessions_)
         loop_.cancel(s.timer);
 }
@@ -197,7 +200,7 @@
     s.state = d.stats.state;
     d.next_uri = uri(id, s, s.token + 2);
     ++s.token;
-    s.latest = json_response(200, write_document(d));
+    set_latest(s, json_response(200, write_document(d)));
     touch(s);
     answer(reply, s.latest);
 }
@@ -220,7 +223,7 @@
     d.partial_cancel_uri.clear();
     d.next_uri = final ? "" : uri(id, s, s.token + 2);
     ++s.token;
-    s.latest = json_response(200, write_document(d));
+    set_latest(s, json_response(200, write_document(d)));
     for (const auto& [key, value] : next.headers)
         s.latest.headers.add(key, value);
     if (final)
@@ -246,7 +249,7 @@
     waiting_in_all_ += document.held_bytes();
     s.waiting.push_back({std::move(document), std::move(headers)});
     if (!s.held)
-        return;
+        return schedule_eviction();
     loop_.cancel(std::exchange(s.timer, 0));
     auto reply = std::move(*s.held);
     s.held.reset();
@@ -276,20 +279,67 @@
     backend_.left(id, how);
     if (!sessions_.contains(id))
         return;
+    if (how == Left::abandoned) {
+        s.final_queued = true;
+        set_latest(s, text_response(404, "abandoned"));
+        return finish(id, s);
+    }
     Document d;
     d.stats.state = "FAILED";
-    d.error = how == Left::abandoned
-                  ? error_named("ABANDONED_QUERY",
-                                "the client has not asked for " +
-                                    std::to_string(options_.abandoned_after / kSecondMicros) + " s")
+    d.error = how == Left::evicted
+                  ? error_named("GENERIC_INSUFFICIENT_RESOURCES",
+                                "the result was dropped, as the client had not asked and memory ran short")
                   : error_named("USER_CANCELED", "the statement was cancelled");
-    if (how == Left::abandoned) {
-        s.final_queued = true;
-        s.latest = text_response(404, "abandoned");
-        finish(id, s);
-    } else {
-        push(id, std::move(d));
+    push(id, std::move(d));
+}
+
+// ---- The memory of results
+
+void ServerSide::set_latest(Session& s, http::Response response) {
+    latest_in_all_ += response.body.size();
+    latest_in_all_ -= s.latest.body.size();
+    s.latest = std::move(response);
+    schedule_eviction();
+}
+
+// In a later turn, as the caller is in the middle of a statement.
+void ServerSide::schedule_eviction() {
+    if (result_bytes() <= options_.result_bytes || eviction_timer_ != 0)
+        return;
+    eviction_timer_ = loop_.after(0, [this] {
+        eviction_timer_ = 0;
+        evict_excess();
+    });
+}
+
+void ServerSide::evict_excess() {
+    const std::size_t target = options_.result_bytes - options_.result_bytes / kEvictionDivisor;
+    std::size_t remaining = result_bytes();
+    std::vector<std::string> evicted;
+    for (const std::string& id : by_asking_) {
+        if (remaining <= target)
+            break;
+        const Session& s = sessions_.find(id)->second;
+        const std::size_t bytes = s.waiting_bytes + s.latest.body.size();
+        if (bytes < kMinEvictedBytes)
+            continue;
+        remaining -= bytes;
+        evicted.push_back(id);
     }
+    for (const std::string& id : evicted)
+        evict(id);
+}
+
+void ServerSide::evict(const std::string& id) {
+    const auto found = sessions_.find(id);
+    if (found == sessions_.end() || found->second.finished)
+        return;
+    Session& s = found->second;
+    set_latest(s, text_response(410, "a document that has been passed"));
+    if (s.held)
+        return;  // its client asks for the next document, so it has received the latest
+    ++evicted_;
+    leave(id, Left::evicted);
 }
 
 void ServerSide::touch(Session& s) {
@@ -303,6 +353,7 @@
         return;
     by_asking_.erase(s.place);
     s.sql = {};
+    latest_in_all_ -= s.latest.body.size();
     finished_.emplace_back(loop_.now(), id);
     finished_bytes_ += s.latest.body.size() + kKeptOverhead;
     while (finished_bytes_ > options_.finished_bytes && finished_.size() > 1)
--- a/src/statement/server.hpp
+++ b/src/statement/server.hpp
@@ -18,7 +18,8 @@
 enum class Left {
     cancelled,
     abandoned,
-    killed
+    killed,
+    evicted  // its result was dropped for lack of memory, as its client had not asked for longest
 };
 
 struct Submission {
@@ -55,6 +56,9 @@
     Micros abandoned_after = 300 * kSecondMicros;   // without a poll
     Micros finished_kept = 30 * kSecondMicros;      // the final document, for being asked again
     std::size_t finished_bytes = 64 * 1024 * 1024;  // and in all, overhead included: the oldest go first
+    // Bytes of rows that wait and of the latest documents, of all statements that are not finished. Beyond it
+    // those whose clients have not asked for longest fail.
+    std::size_t result_bytes = std::size_t{1} << 30;
     bool remote_drain = false;  // PUT /v1/info/state is heard from other machines too, not only from this one
     bool trust_forwarded = false;  // X-Forwarded-Proto and -Host build the URIs
 };
@@ -80,6 +84,14 @@
     std::size_t waiting_in_all() const {
         return waiting_in_all_;
     }
+    // Bytes of rows that wait and of the latest documents, of all statements that are not finished.
+    std::size_t result_bytes() const {
+        return waiting_in_all_ + latest_in_all_;
+    }
+    // Statements that failed because result_bytes() exceeded its limit.
+    std::uint64_t evicted() const {
+        return evicted_;
+    }
     bool starting = false, draining = false;
     std::size_t kept() const {
         return finished_.size();
@@ -115,6 +127,10 @@
     void give_progress(const std::string& id, Session& s, http::Server::Reply reply);
     std::string uri(const std::string& id, const Session& s, std::uint64_t token) const;
     void leave(const std::string& id, Left how);
+    void set_latest(Session& s, http::Response response);
+    void schedule_eviction();
+    void evict_excess();
+    void evict(const std::string& id);
     void touch(Session& s);  // its client is there
     void finish(const std::string& id, Session& s);
     void forget(const std::string& id);
@@ -141,7 +157,9 @@
     std::list<std::string> by_asking_;
     std::deque<std::pair<Micros, std::string>> finished_;
     std::size_t finished_bytes_ = 0, waiting_in_all_ = 0;
-    net::TimerId sweeping_ = 0;
+    std::size_t latest_in_all_ = 0;  // of the latest documents of statements that are not finished
+    std::uint64_t evicted_ = 0;
+    net::TimerId sweeping_ = 0, eviction_timer_ = 0;
 };
 
 http::Response json_response(int status, std::string body);
--- a/tests/front/paused_client_test.cpp
+++ b/tests/front/paused_client_test.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr long kRows = 40'000;
-constexpr const char* kLargeResult = "SELECT 1 /* gt: work_ms=5 rows=40000 row_bytes=100 */";
 // The front buffers far less than the result and waits for the client, which may pause for long.
 constexpr const char* kSettings = "limits+: { rows_ahead: '64KiB' }, times+: { abandoned_after: '60s' }, ";
 
@@ -29,9 +28,11 @@
 // A statement whose client polls only when the test says so.
 class PausedClientStatement {
 public:
-    PausedClientStatement(FrontTestBed& bed, const std::string& source) : bed_(bed), source_(source) {
-        const auto accepted =
-            bed.exchange("POST", "/v1/statement", kLargeResult, FrontTestBed::headers(source));
+    PausedClientStatement(FrontTestBed& bed, const std::string& source, long result_rows = kRows)
+        : bed_(bed), source_(source), result_rows_(result_rows) {
+        const std::string sql =
+            "SELECT 1 /* gt: work_ms=5 rows=" + std::to_string(result_rows) + " row_bytes=100 */";
+        const auto accepted = bed.exchange("POST", "/v1/statement", sql, FrontTestBed::headers(source));
         next_ = statement::read_document(accepted.response.body)->next_uri;
     }
     void fetch_one() {
@@ -50,7 +51,7 @@
     }
     // Whether the rows are those of one result, complete and in order.
     bool has_whole_result() const {
-        std::vector<long> expected(kRows);
+        std::vector<long> expected(static_cast<std::size_t>(result_rows_));
         std::iota(expected.begin(), expected.end(), 0L);
         return rows == expected;
     }
@@ -61,6 +62,7 @@
 private:
     FrontTestBed& bed_;
     std::string source_;
+    long result_rows_;
     std::string next_;
 };
 
@@ -159,5 +161,38 @@
     EXPECT_EQ(bed.count("started"), 1);
 }
 
+// Guards against memory without limit for the results of many clients that do not fetch them (review case 10,
+// in serve).
+TEST(PausedClient, ResultsOfManyPausedClientsStayWithinTheLimit) {
+    constexpr std::size_t kClients = 24;
+    constexpr long kRowsEach = 600;                     // some 64 KB
+    constexpr std::size_t kResultLimit = 512 * 1024;    // twice rows_in_all
+    constexpr std::size_t kLargestResult = 128 * 1024;  // may exceed it within one turn of the loop
+    FrontTestBed bed(2,
+                     "limits+: { rows_ahead: '64KiB', rows_in_all: '256KiB' }, "
+                     "times+: { abandoned_after: '60s' }");
+    std::vector<std::unique_ptr<PausedClientStatement>> clients;
+    std::size_t most_waiting = 0;
+    for (std::size_t i = 0; i < kClients; ++i) {
+        clients.push_back(std::make_unique<PausedClientStatement>(bed, "long", kRowsEach));
+        ASSERT_TRUE(bed.wait_until([&] {
+            return bed.count("finished") == static_cast<int>(i) + 1;
+        }));
+        most_waiting = std::max(most_waiting, waiting_bytes(bed));
+    }
+    EXPECT_LE(most_waiting, kResultLimit + kLargestResult);
+    std::size_t whole = 0;
+    for (const auto& client : clients) {
+        client->fetch_all();
+        whole += client->has_whole_result() ? 1 : 0;
+        EXPECT_TRUE(client->has_whole_result() ||
+                    (client->rows.empty() && client->error == "GENERIC_INSUFFICIENT_RESOURCES"))
+            << client->rows.size() << " rows, error " << client->error;
+    }
+    EXPECT_TRUE(clients.back()->has_whole_result());
+    EXPECT_GE(whole, kResultLimit / 2 / kLargestResult);
+    EXPECT_LT(whole, kClients);
+}
+
 }  // namespace
 }  // namespace gatetiller::testing
