serve: an attempt that the guard refused drops no rows of the one in flight

If the guard refuses a second attempt while one is in flight (only a faulty policy asks for that), the refused one would drop the rows of the other, and its result would lack its beginning; attempt_in_flight() would also give the refused one, which has no call. Found by reading again. Change: only an attempt that counts as in flight drops rows, and attempt_in_flight() looks for such a one. The comment on Stream::discard_input says what happens in the stream's own on_data, where it is called. No test brings the guard's refusal about: the policy breaks no rule in any.

--- a/src/front/active_statement.cpp
+++ b/src/front/active_statement.cpp
@@ -1,5 +1,7 @@
 #include "front/active_statement.hpp"
 
+#include <algorithm>
+
 namespace gatetiller::front {
 
 StatementAttempt::StatementAttempt(net::Loop& event_loop, AttemptListener& attempt_listener,
@@ -16,6 +18,13 @@
     loop.cancel(timeout_timer);
 }
 
+StatementAttempt* ActiveStatement::attempt_in_flight() {
+    const auto found = std::find_if(attempts.rbegin(), attempts.rend(), [](const auto& attempt) {
+        return attempt->in_lifecycle && !attempt->completed;
+    });
+    return found == attempts.rend() ? nullptr : found->get();
+}
+
 ActiveStatements::ActiveStatements(net::Loop& loop)
     : release_(loop, [this](const std::string& id) {
           by_id_.erase(id);
--- a/src/front/active_statement.hpp
+++ b/src/front/active_statement.hpp
@@ -100,9 +100,8 @@
     std::optional<decide::RequestRow> ledger_row;  // reset when the final state is recorded
     store::LedgerWriter::QueueSlot ledger_slot;
 
-    StatementAttempt* attempt_in_flight() {
-        return lifecycle.attempt_in_flight() ? attempts.back().get() : nullptr;
-    }
+    // Returns null if none is in flight. An attempt that the guard refused never is.
+    StatementAttempt* attempt_in_flight();
     bool is_streaming() const {
         return lifecycle.phase() == decide::RequestPhase::streaming;
     }
--- a/src/front/attempt_dispatcher.cpp
+++ b/src/front/attempt_dispatcher.cpp
@@ -118,7 +118,8 @@
         return;
     services_.loop.cancel(std::exchange(attempt.timeout_timer, 0));
     ActiveStatement& statement = attempt.statement;
-    if (!final_response_ready)
+    // An attempt that the guard refused has no rows: those that wait are of the one in flight.
+    if (attempt.in_lifecycle && !final_response_ready)
         drop_waiting_rows(statement);
     if (attempt.in_lifecycle)
         statement.lifecycle.apply(decide::RequestEvent::attempt_ended);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -108,7 +108,8 @@
     // While the budget is exceeded, at most InputBudget::kAllowanceBytes are buffered for the owner; the rest
     // stays in the kernel's buffer. The budget must outlive the stream; its owner keeps it up to date.
     virtual void set_input_budget(const InputBudget& budget) = 0;
-    // Drops the received bytes that the owner has not consumed. Not to be called in the stream's own on_data.
+    // Drops the received bytes that the owner has not consumed. In the stream's own on_data, views of its
+    // buffer become invalid.
     virtual void discard_input() = 0;
     virtual const std::string& peer() const = 0;  // address of the peer, for logs and limits
 };
