--- a/src/engine/service.cpp
+++ b/src/engine/service.cpp
@@ -416,7 +416,7 @@
     statements_->push(id, std::move(d));
 }
 
-void Service::room(const std::string& id) {
+void Service::on_document_sent(const std::string& id) {
     const auto found = running_.find(id);
     if (found != running_.end() && found->second.ended && found->second.next_row < found->second.hints.rows)
         give_page(id, found->second);
@@ -453,12 +453,12 @@
     arm();
 }
 
-void Service::left(const std::string& id, statement::Left how) {
-    stop(id, how == statement::Left::abandoned ? "abandoned" : "cancelled");
-    final_given(id);
+void Service::on_cancelled(const std::string& id, statement::CancelReason reason) {
+    stop(id, reason == statement::CancelReason::abandoned ? "abandoned" : "cancelled");
+    on_final_document_sent(id);
 }
 
-void Service::final_given(const std::string& id) {
+void Service::on_final_document_sent(const std::string& id) {
     const auto found = running_.find(id);
     if (found == running_.end())
         return;
--- a/src/engine/service.hpp
+++ b/src/engine/service.hpp
@@ -91,10 +91,10 @@
     }
 
     std::optional<http::Response> submit(const std::string& id, statement::Submission submission) override;
-    void left(const std::string& id, statement::Left how) override;
-    void rows_going_out(const std::string&) override {}
-    void room(const std::string& id) override;
-    void final_given(const std::string& id) override;
+    void on_cancelled(const std::string& id, statement::CancelReason reason) override;
+    void on_rows_started(const std::string&) override {}
+    void on_document_sent(const std::string& id) override;
+    void on_final_document_sent(const std::string& id) override;
     statement::Stats progress(const std::string& id) override;
     std::string status_members() override;
     void decorate(http::Response& response) override;
--- a/src/front/engine_responses.cpp
+++ b/src/front/engine_responses.cpp
@@ -100,7 +100,7 @@
 
 void EngineResponses::fetch_next(StatementAttempt& attempt) const {
     const auto& api = services_.statement_api;
-    if (services_.intake.can_fetch_more(api.waiting_bytes(attempt.statement.id), api.waiting_in_all()))
+    if (services_.intake.can_fetch_more(api.waiting_bytes(attempt.statement.id), api.total_waiting_bytes()))
         attempt.call->next();
 }
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -119,10 +119,10 @@
         metrics_.set_ledger_gauges(ledger_.status());
     Metrics::Gauges gauges;
     gauges.statements = static_cast<double>(statements_.size());
-    gauges.waiting_bytes = static_cast<double>(statement_api_.waiting_in_all());
+    gauges.waiting_bytes = static_cast<double>(statement_api_.total_waiting_bytes());
     gauges.connections = static_cast<double>(server_.connections());
     gauges.sensitive_share = driver_.sensitive_share();
-    gauges.finished_statements = static_cast<double>(statement_api_.kept());
+    gauges.finished_statements = static_cast<double>(statement_api_.finished_statements());
     gauges.result_bytes = static_cast<double>(statement_api_.result_bytes());
     gauges.evicted_results = static_cast<double>(statement_api_.evicted());
     http::Response response{kStatusOk, {}, metrics_.render_page(gauges)};
@@ -178,24 +178,24 @@
     return arrived;
 }
 
-void Front::left(const std::string& id, statement::Left reason) {
+void Front::on_cancelled(const std::string& id, statement::CancelReason reason) {
     completion_.on_client_left(id, reason);
 }
 
-void Front::rows_going_out(const std::string& id) {
+void Front::on_rows_started(const std::string& id) {
     ActiveStatement* statement = statements_.find(id);
     if (statement && statement->lifecycle.apply(decide::RequestEvent::streaming_started))
         post_event(ResponseStarted{id, statement->attempt_in_flight()->number});
 }
 
-void Front::room(const std::string& id) {
+void Front::on_document_sent(const std::string& id) {
     ActiveStatement* statement = statements_.find(id);
     StatementAttempt* attempt = statement ? statement->attempt_in_flight() : nullptr;
     if (attempt)
         responses_.fetch_next(*attempt);
 }
 
-void Front::final_given(const std::string& id) {
+void Front::on_final_document_sent(const std::string& id) {
     completion_.on_final_delivered(id);
 }
 
@@ -217,8 +217,8 @@
 
 std::string Front::status_members() {
     return front::status_members(engines_,
-                                 {statements_.size(), statement_api_.waiting_in_all(), server_.connections(),
-                                  driver_.sensitive_share()},
+                                 {statements_.size(), statement_api_.total_waiting_bytes(),
+                                  server_.connections(), driver_.sensitive_share()},
                                  ledger_.status_member());
 }
 
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -70,10 +70,10 @@
 
     // statement::Backend
     std::optional<http::Response> submit(const std::string& id, statement::Submission submission) override;
-    void left(const std::string& id, statement::Left reason) override;
-    void rows_going_out(const std::string& id) override;
-    void room(const std::string& id) override;
-    void final_given(const std::string& id) override;
+    void on_cancelled(const std::string& id, statement::CancelReason reason) override;
+    void on_rows_started(const std::string& id) override;
+    void on_document_sent(const std::string& id) override;
+    void on_final_document_sent(const std::string& id) override;
     statement::Stats progress(const std::string& id) override;
     void drain() override {
         drain(nullptr);
--- a/src/front/statement_completion.cpp
+++ b/src/front/statement_completion.cpp
@@ -63,13 +63,14 @@
     services_.statement_api.push(statement.id, std::move(document), std::move(headers));
 }
 
-void StatementCompletion::on_client_left(const std::string& id, statement::Left reason) {
+void StatementCompletion::on_client_left(const std::string& id, statement::CancelReason reason) {
     ActiveStatement* statement = services_.statements.find(id);
     if (!statement || statement->lifecycle.phase() == decide::RequestPhase::closed)
         return;
     // Also replaces the outcome of a statement whose final document was ready: the record says which side
     // ended it.
-    const bool did_not_ask = reason == statement::Left::abandoned || reason == statement::Left::evicted;
+    const bool did_not_ask =
+        reason == statement::CancelReason::abandoned || reason == statement::CancelReason::evicted;
     statement->outcome = did_not_ask ? StatementOutcome::abandoned : StatementOutcome::cancelled;
     if (statement->ended_at == 0)
         statement->ended_at = services_.loop.now();
--- a/src/front/statement_completion.hpp
+++ b/src/front/statement_completion.hpp
@@ -21,7 +21,7 @@
     // Ends a statement that the policy fails. Has no effect on a finished statement.
     void fail(const FailRequest& action);
     // Called when the client cancelled the statement or stopped polling.
-    void on_client_left(const std::string& id, statement::Left reason);
+    void on_client_left(const std::string& id, statement::CancelReason reason);
     void on_final_delivered(const std::string& id);
 
 private:
--- a/src/statement/server.hpp
+++ b/src/statement/server.hpp
@@ -1,6 +1,6 @@
-// The server side of the statement API: statements by id, slug and token, polls held while nothing is new,
-// the latest document kept for being asked again, cancelling, abandonment. What a statement answers comes
-// from its Backend.
+// The server side of the statement API: statements by id, slug and token. A poll without news is held for a
+// while, the latest document is kept so that a client may ask for it again, and a statement is cancelled by
+// its client or abandoned without polls. The documents come from a Backend.
 #pragma once
 
 #include <deque>
@@ -15,87 +15,108 @@
 
 namespace gatetiller::statement {
 
-enum class Left {
+// Why a statement ended before its final document was sent.
+enum class CancelReason {
+    // Its client cancelled it.
     cancelled,
+    // Its client did not poll for ServerSideOptions::abandoned_after.
     abandoned,
+    // It was cancelled by its id, not by its client's URI.
     killed,
-    evicted  // its result was dropped for lack of memory, as its client had not asked for longest
+    // Its result was dropped for lack of memory (ServerSideOptions::result_bytes).
+    evicted
 };
 
+// A statement as its client sent it.
 struct Submission {
     Context context;
-    std::string sql, peer;
+    std::string sql;
+    std::string peer;  // address of the client
 };
 
+// Executes the statements of a ServerSide.
 class Backend {
 public:
     virtual ~Backend() = default;
-    // Takes a statement or answers why not. A taken one may be answered from within this call.
+    // Accepts a statement and returns nothing, or returns the rejection. Documents of an accepted statement
+    // may be pushed within this call.
     virtual std::optional<http::Response> submit(const std::string& id, Submission submission) = 0;
-    // The client has left before the final document was given out.
-    virtual void left(const std::string& id, Left how) = 0;
-    // A document with rows is about to be given out for the first time.
-    virtual void rows_going_out(const std::string& id) = 0;
-    // A waiting document has been given out: there is room for more.
-    virtual void room(const std::string& id) = 0;
-    // The final document has been given out.
-    virtual void final_given(const std::string& id) = 0;
-    // What to say while nothing is new.
+    // The statement ended before its final document was sent.
+    virtual void on_cancelled(const std::string& id, CancelReason reason) = 0;
+    // A document with rows is about to be sent for the first time.
+    virtual void on_rows_started(const std::string& id) = 0;
+    // A waiting document was sent, so that more may be pushed.
+    virtual void on_document_sent(const std::string& id) = 0;
+    virtual void on_final_document_sent(const std::string& id) = 0;
+    // Returns the statistics to send while no document waits.
     virtual Stats progress(const std::string& id) = 0;
-    // Drains this server, as PUT /v1/info/state asks.
+    // Starts draining this server, on PUT /v1/info/state.
     virtual void drain() = 0;
-    // More members for GET /v1/status, as JSON members after a comma; may be empty.
+    // Returns further members for GET /v1/status, as JSON members after a comma; may be empty.
     virtual std::string status_members() = 0;
-    // Headers for every answer, such as a load report.
+    // Adds headers to every response, such as a load report.
     virtual void decorate(http::Response& response) = 0;
 };
 
+// Times in microseconds.
 struct ServerSideOptions {
-    std::string node_id = "gatetiller", version = "0.2.0", environment = "production";
-    Micros long_poll = kSecondMicros;               // a poll is held for so long while nothing is new
-    Micros abandoned_after = 300 * kSecondMicros;   // without a poll
-    Micros finished_kept = 30 * kSecondMicros;      // the final document, for being asked again
-    std::size_t finished_bytes = 64 * 1024 * 1024;  // and in all, overhead included: the oldest go first
+    std::string node_id = "gatetiller";
+    std::string version = "0.2.0";
+    std::string environment = "production";
+    // How long a poll is held while no document waits.
+    Micros long_poll = kSecondMicros;
+    // A statement without a poll for this long is abandoned.
+    Micros abandoned_after = 300 * kSecondMicros;
+    // How long the final document is kept, so that a client may ask for it again.
+    Micros finished_kept = 30 * kSecondMicros;
+    // Bytes of all final documents kept, overhead included; beyond it the oldest are removed.
+    std::size_t finished_bytes = 64 * 1024 * 1024;
     // Bytes of rows that wait and of the latest documents, of all statements that are not finished. Beyond it
-    // those whose clients have not asked for longest fail.
+    // those whose clients have not polled for longest are ended.
     std::size_t result_bytes = std::size_t{1} << 30;
-    bool remote_drain = false;  // PUT /v1/info/state is heard from other machines too, not only from this one
-    bool trust_forwarded = false;  // X-Forwarded-Proto and -Host build the URIs
+    // PUT /v1/info/state is accepted from other machines too, not only from this one.
+    bool remote_drain = false;
+    // URIs are built from X-Forwarded-Proto and X-Forwarded-Host.
+    bool trust_forwarded = false;
 };
 
 class ServerSide {
 public:
-    // `entropy` gives 32 hex digits that nobody can guess, for slugs.
+    // `entropy` returns 32 unpredictable hex digits, for slugs. The loop and the backend must outlive this.
     ServerSide(net::Loop& loop, ServerSideOptions options, Backend& backend,
                std::function<std::string()> entropy);
     ~ServerSide();
     ServerSide(const ServerSide&) = delete;
     ServerSide& operator=(const ServerSide&) = delete;
 
-    // For http::Server. False: the path is none of this API's; nothing was done.
+    // Handles a request for http::Server. Returns false, without any effect, for a path of another API.
     bool handle(http::Request& request, http::Server::Reply& reply);
 
-    // Puts a document at the end of those waiting; id and URIs are set here. `headers` go with it. One whose
-    // next_uri is empty is the final one; after it nothing more is taken.
+    // Queues a document for the client; its id and URIs are set here. `headers` are sent with it. A document
+    // without next_uri is the final one; later ones are ignored.
     void push(const std::string& id, Document document, http::Headers headers = {});
-    // Drops what waits and has not been given out, and what rows may have been in it.
+    // Drops the documents that wait.
     void drop_waiting(const std::string& id);
+    // Bytes of the documents that wait, of one statement and of all.
     std::size_t waiting_bytes(const std::string& id) const;
-    std::size_t waiting_in_all() const {
-        return waiting_in_all_;
+    std::size_t total_waiting_bytes() const {
+        return total_waiting_bytes_;
     }
     // Bytes of rows that wait and of the latest documents, of all statements that are not finished.
     std::size_t result_bytes() const {
-        return waiting_in_all_ + latest_in_all_;
+        return total_waiting_bytes_ + total_latest_bytes_;
     }
-    // Statements that failed because result_bytes() exceeded its limit.
+    // Statements that were ended because result_bytes() exceeded its limit.
     std::uint64_t evicted() const {
         return evicted_;
     }
-    bool starting = false, draining = false;
-    std::size_t kept() const {
+    // Statements whose final document is kept.
+    std::size_t finished_statements() const {
         return finished_.size();
     }
+    // Reported by GET /v1/info and /v1/info/state.
+    bool starting = false;
+    bool draining = false;
 
 private:
     struct Waiting {
@@ -103,19 +124,25 @@
         http::Headers headers;
     };
     struct Session {
-        std::string slug, user, sql, base;
-        std::uint64_t token = 0;  // of the latest document given out
+        std::string slug;
+        std::string user;
+        std::string sql;
+        std::string base;         // of its URIs
+        std::uint64_t token = 0;  // of the latest document
         http::Response latest;
         std::deque<Waiting> waiting;
         std::size_t waiting_bytes = 0;
-        bool final_queued = false, finished = false, rows_out = false;
-        std::string state = "QUEUED", error_name;
+        bool final_queued = false;
+        bool finished = false;
+        bool rows_sent = false;
+        std::string state = "QUEUED";
+        std::string error_name;
         std::int64_t error_code = 0;
-        Micros asked = 0;                          // when a poll last came or was answered
-        std::list<std::string>::iterator place{};  // in by_asking_, while not finished
-        std::optional<http::Server::Reply> held;
-        std::uint64_t held_serial = 0;
-        net::TimerId timer = 0;
+        Micros last_poll_at = 0;                      // the arrival of a poll or the response to it
+        std::list<std::string>::iterator position{};  // in by_last_poll_, while not finished
+        std::optional<http::Server::Reply> held_poll;
+        std::uint64_t held_poll_number = 0;
+        net::TimerId timer = 0;  // for the response to the held poll
     };
 
     void submit(http::Request& request, http::Server::Reply& reply);
@@ -123,19 +150,19 @@
     void query_path(http::Request& request, std::string_view id, http::Server::Reply& reply);
     void info_path(http::Request& request, std::string_view rest, http::Server::Reply& reply);
     void poll(const std::string& id, Session& s, http::Server::Reply& reply);
-    void give(const std::string& id, Session& s, http::Server::Reply reply);
-    void give_progress(const std::string& id, Session& s, http::Server::Reply reply);
+    void send_next_document(const std::string& id, Session& s, http::Server::Reply reply);
+    void send_progress(const std::string& id, Session& s, http::Server::Reply reply);
     std::string uri(const std::string& id, const Session& s, std::uint64_t token) const;
-    void leave(const std::string& id, Left how);
+    void cancel(const std::string& id, CancelReason reason);
     void set_latest(Session& s, http::Response response);
     void schedule_eviction();
     void evict_excess();
     void evict(const std::string& id);
-    void touch(Session& s);  // its client is there
+    void record_poll(Session& s);
     void finish(const std::string& id, Session& s);
-    void forget(const std::string& id);
+    void remove_oldest_finished();
     void sweep();
-    void answer(http::Server::Reply& reply, http::Response response);
+    void respond(http::Server::Reply& reply, http::Response response);
     std::string base_of(const http::Request& request) const;
     static std::string info_uri(const std::string& id, const Session& s);
 
@@ -143,9 +170,10 @@
     ServerSideOptions options_;
     Backend& backend_;
     std::function<std::string()> entropy_;
-    Micros started_;
-    std::uint64_t last_ = 0, held_ = 0;
-    std::string run_;  // of ids: differs between runs, so that no id comes twice
+    Micros started_at_;
+    std::uint64_t statement_count_ = 0;
+    std::uint64_t held_polls_ = 0;
+    std::string run_id_;  // part of the statement ids, which thus differ between runs
     struct Hash {
         using is_transparent = void;
         std::size_t operator()(std::string_view text) const {
@@ -153,13 +181,15 @@
         }
     };
     std::unordered_map<std::string, Session, Hash, std::equal_to<>> sessions_;
-    // Those not finished, the one that asked longest ago first: abandonment looks at that end only.
-    std::list<std::string> by_asking_;
-    std::deque<std::pair<Micros, std::string>> finished_;
-    std::size_t finished_bytes_ = 0, waiting_in_all_ = 0;
-    std::size_t latest_in_all_ = 0;  // of the latest documents of statements that are not finished
+    // Statements that are not finished; the one whose client polled longest ago first.
+    std::list<std::string> by_last_poll_;
+    std::deque<std::pair<Micros, std::string>> finished_;  // the oldest first
+    std::size_t finished_bytes_ = 0;
+    std::size_t total_waiting_bytes_ = 0;
+    std::size_t total_latest_bytes_ = 0;  // of the latest documents of statements that are not finished
     std::uint64_t evicted_ = 0;
-    net::TimerId sweeping_ = 0, eviction_timer_ = 0;
+    net::TimerId sweep_timer_ = 0;
+    net::TimerId eviction_timer_ = 0;
 };
 
 http::Response json_response(int status, std::string body);
