Node: answer no further calls of a client that does not read its answers

Cause: such calls are answered at once, without any limit but those on unread responses, and these close a client only after 0.2 s at least. Change: a message of a client with over 4 KiB unread waits until it has read: calls without a request always, requests while all clients have an eighth of the memory unread; give_up never. A client whose messages wait and that takes no byte for 2 s is closed, so none keeps its connection for nothing. ClientSessions::unsent_bytes() is kept up to date, no longer added up for each request. Why it works: what waits in a node for a client that does not read is 4 KiB and the answers of one turn. Without must_read_first() ClientInput.AnswersToClientsThatDoNotReadStayWithinTheLimit fails (13,383,552 bytes unsent, 196,608 allowed); with it the tests of node and net pass, the new ones 12 times in four processes at once.

--- a/src/decide/slow_reader.cpp
+++ b/src/decide/slow_reader.cpp
@@ -10,6 +10,8 @@
 // The same while all clients together are over their limit. The bytes may have been queued just before the
 // first check, so one alone says nothing.
 constexpr int kMaxStalledChecksUnderPressure = 2;
+// Bytes of unread responses up to which a client's next message is handled.
+constexpr std::size_t kMaxUnreadBetweenMessages = 4096;
 
 }  // namespace
 
@@ -21,6 +23,12 @@
     return {unsent_bytes, stalled_checks_};
 }
 
+bool must_read_first(const UnreadResponses& unread, const ResourceLimits& limits) {
+    if (unread.client_bytes <= kMaxUnreadBetweenMessages)
+        return false;
+    return unread.is_answered_at_once || unread.total_bytes > limits.total_unsent_bytes / 2;
+}
+
 bool exceeds_unsent_limit(std::size_t unsent_bytes, const ResourceLimits& limits) {
     return unsent_bytes > limits.max_unsent_bytes;
 }
@@ -40,9 +48,9 @@
     std::vector<std::size_t> selected;
     for (const std::size_t index : stalled) {
         const ReaderSnapshot& client = clients[index];
-        const bool over_share =
-            client.unsent_bytes > limits.unsent_bytes && client.stalled_checks >= kMaxStalledChecks;
-        if (!over_share && total <= limits.total_unsent_bytes)
+        const bool must_read = client.messages_wait || client.unsent_bytes > limits.unsent_bytes;
+        const bool stalled_for_long = must_read && client.stalled_checks >= kMaxStalledChecks;
+        if (!stalled_for_long && total <= limits.total_unsent_bytes)
             continue;
         selected.push_back(index);
         total -= client.unsent_bytes;
--- a/src/decide/slow_reader.hpp
+++ b/src/decide/slow_reader.hpp
@@ -20,6 +20,8 @@
     // Consecutive checks, this one included, at which the kernel had accepted no byte since the previous
     // check.
     int stalled_checks = 0;
+    // Messages of the client wait until it has read its responses (must_read_first).
+    bool messages_wait = false;
 };
 
 // Counts the checks at which a client has taken none of the bytes offered to it.
@@ -38,12 +40,26 @@
     int stalled_checks_ = 0;
 };
 
+// What is known of a client's next message and of what clients have not read, when it is about to be handled.
+struct UnreadResponses {
+    // Bytes of the client's own responses, and of those of all clients, that the kernel has not accepted.
+    std::size_t client_bytes = 0;
+    std::size_t total_bytes = 0;
+    // The message is answered at once and does not count as an open request.
+    bool is_answered_at_once = false;
+};
+
+// Whether the message waits until its client has read its responses. Otherwise clients that send messages
+// without reading make responses grow until they are closed. Requests wait only while all clients together
+// hold half of ResourceLimits::total_unsent_bytes, other messages always.
+bool must_read_first(const UnreadResponses& unread, const ResourceLimits& limits);
+
 // Whether the unsent responses of one client are more than any client that reads can have. Needs no check.
 bool exceeds_unsent_limit(std::size_t unsent_bytes, const ResourceLimits& limits);
 
-// Returns the indices of the clients to close at a check: those over their share that have stalled for long,
-// then, while all together hold more than ResourceLimits::total_unsent_bytes, stalled ones, the largest
-// first.
+// Returns the indices of the clients to close at a check: those that have stalled for long and are over their
+// share or have messages that wait, then, while all together hold more than
+// ResourceLimits::total_unsent_bytes, stalled ones, the largest first.
 std::vector<std::size_t> select_slow_readers(const std::vector<ReaderSnapshot>& clients,
                                              const ResourceLimits& limits);
 
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -38,6 +38,7 @@
 
 void ClientSessions::Connection::read_messages(Buffer& in) {
     deferred_ = false;
+    waits_for_client_ = false;
     unread_until_ = 0;
     waiting_since_ = std::exchange(deferred_since_, 0);
     auto reading = Reading::complete;
@@ -111,9 +112,7 @@
     if (framing == thrift::FrameStatus::incomplete)
         return Reading::incomplete;
     if (calls == kCallsPerTurn) {
-        state_.partial_request_since = 0;
-        deferred_ = true;
-        deferred_since_ = sessions_.loop_.now() - max_unread_wait();
+        defer();
         stream_->schedule_delivery();
         return Reading::deferred;
     }
@@ -124,6 +123,11 @@
     }
     const std::weak_ptr<char> alive = alive_;
     auto call = thrift::read_call(frame);
+    if (call && must_read_first(*call)) {
+        defer();
+        waits_for_client_ = true;
+        return Reading::deferred;
+    }
     in.consume(thrift::kFrameHead + frame.size());
     state_.last_active_at = sessions_.loop_.now();
     if (call)
@@ -133,6 +137,43 @@
     return alive.expired() ? Reading::gone : Reading::complete;
 }
 
+// Cancelling a request is never delayed: it frees memory.
+bool ClientSessions::Connection::must_read_first(const thrift::Call& call) const {
+    if (call.what == thrift::Call::What::give_up)
+        return false;
+    const bool is_request = call.what == thrift::Call::What::process;
+    return decide::must_read_first({.client_bytes = stream_->unsent(),
+                                    .total_bytes = sessions_.unsent_bytes_,
+                                    .is_answered_at_once = !is_request},
+                                   sessions_.limits_);
+}
+
+// Leaves complete messages in the buffer for a later turn.
+void ClientSessions::Connection::defer() {
+    state_.partial_request_since = 0;
+    deferred_ = true;
+    deferred_since_ = sessions_.loop_.now() - max_unread_wait();
+}
+
+void ClientSessions::Connection::on_sent() {
+    report_unsent();
+    if (waits_for_client_)
+        stream_->schedule_delivery();
+}
+
+void ClientSessions::Connection::report_unsent() {
+    const std::size_t unsent = stream_->unsent();
+    sessions_.unsent_bytes_ += unsent;
+    sessions_.unsent_bytes_ -= std::exchange(reported_unsent_, unsent);
+}
+
+decide::ReaderSnapshot ClientSessions::Connection::check_reading() {
+    report_unsent();
+    auto snapshot = read_progress_.check(stream_->unsent());
+    snapshot.messages_wait = waits_for_client_;
+    return snapshot;
+}
+
 void ClientSessions::Connection::on_closed(net::Closed) {
     sessions_.drop(id_, decide::CloseReason::peer_closed);
 }
@@ -232,6 +273,7 @@
     const std::size_t size = frame.size();
     if (stream_->send(std::move(frame)) != 0)
         read_progress_.add_queued(size);
+    report_unsent();
 }
 
 void ClientSessions::Connection::close(const decide::ClosePermit&) {
--- a/src/node/client_connection.hpp
+++ b/src/node/client_connection.hpp
@@ -22,6 +22,7 @@
     // Starts reading. To be called once the connection can be found by its id, as reading may close it.
     void start();
     void on_data(Buffer& in) override;
+    void on_sent() override;
     void on_closed(net::Closed how) override;
 
     decide::ClientSnapshot snapshot() const;
@@ -53,10 +54,12 @@
     std::size_t unsent() const {
         return stream_->unsent();
     }
-    // To be called at each sweep.
-    decide::ReaderSnapshot check_reading() {
-        return read_progress_.check(stream_->unsent());
+    // Its part of ClientSessions::unsent_bytes().
+    std::size_t reported_unsent() const {
+        return reported_unsent_;
     }
+    // To be called at each sweep.
+    decide::ReaderSnapshot check_reading();
     void close_if_answered();
     // Discards the part of a message that has arrived, and its rest once it arrives.
     void discard_partial_message();
@@ -71,7 +74,7 @@
     enum class Reading {
         complete,    // one message was read; there may be more
         incomplete,  // there is nothing more to read in this turn
-        deferred,    // complete messages are left for the next turn
+        deferred,    // complete messages are left for a later turn
         gone,        // the connection has been destroyed
     };
     // The incomplete message at the end of the input.
@@ -90,11 +93,14 @@
     void skip_discarded_message(Buffer& in);
     void end_discarded_message(const thrift::CallHead& head);
     Reading read_message(Buffer& in, int calls);
+    bool must_read_first(const thrift::Call& call) const;
+    void defer();
     void handle(thrift::Call call);
     void handle_process(thrift::Call call);
     // Opens the sequence number of a request. Returns false after ending the connection as malformed.
     bool accept_sequence_number(std::int32_t sequence);
     void queue(std::string frame);
+    void report_unsent();
     void end_malformed(std::int32_t sequence, thrift::Fault fault, const std::string& reason);
     Micros max_unread_wait() const;
 
@@ -104,8 +110,10 @@
     decide::ClientSnapshot state_;  // without the number of open requests, which is in `sequence_numbers_`
     decide::ClientSequenceNumbers sequence_numbers_;
     decide::ReadProgress read_progress_;
-    Micros backlog_wait_ = 0;  // maximum time spent in the listen backlog
-    bool deferred_ = false;    // complete messages wait for the next turn
+    Micros backlog_wait_ = 0;          // maximum time spent in the listen backlog
+    bool deferred_ = false;            // complete messages wait for a later turn
+    bool waits_for_client_ = false;    // they wait until the client has read its responses
+    std::size_t reported_unsent_ = 0;  // counted in ClientSessions::unsent_bytes()
     // A malformed message has arrived: further input is discarded, and the connection closes once the
     // accepted requests have their responses.
     bool malformed_ = false;
--- a/src/node/client_sessions.cpp
+++ b/src/node/client_sessions.cpp
@@ -177,6 +177,7 @@
     const auto dropped = std::move(found->second);
     connections_.erase(found);
     input_budget_.remove(id);
+    unsent_bytes_ -= dropped->reported_unsent();
     for (const auto sequence : dropped->release_all())
         events_.on_cancelled(id, sequence);
 }
@@ -212,13 +213,6 @@
         connections_.at(*largest)->discard_partial_message();
 }
 
-std::size_t ClientSessions::unsent_bytes() const {
-    std::size_t bytes = 0;
-    for (const auto& [id, connection] : connections_)
-        bytes += connection->unsent();
-    return bytes;
-}
-
 std::size_t ClientSessions::unsent_bytes(ClientId id) const {
     const auto found = connections_.find(id);
     return found == connections_.end() ? 0 : found->second->unsent();
--- a/src/node/client_sessions.hpp
+++ b/src/node/client_sessions.hpp
@@ -101,8 +101,10 @@
     std::size_t input_bytes() const {
         return input_budget_.held();
     }
-    // Bytes of the responses of all clients that the kernel has not accepted.
-    std::size_t unsent_bytes() const;
+    // Bytes of the responses of all clients that the kernel has not accepted, as of the last sweep or later.
+    std::size_t unsent_bytes() const {
+        return unsent_bytes_;
+    }
     // The same of one client; 0 if it has disconnected.
     std::size_t unsent_bytes(ClientId id) const;
     const ClientCounters& counters() const {
@@ -135,6 +137,7 @@
     decide::ResourceLimits limits_;
     decide::ClientTimeouts timeouts_;
     net::InputBudget input_budget_;
+    std::size_t unsent_bytes_ = 0;  // each connection keeps its part up to date
     Events events_;
     const FaultInjection& faults_;
     std::unique_ptr<net::Listener> listener_;
--- a/tests/decide/slow_reader_test.cpp
+++ b/tests/decide/slow_reader_test.cpp
@@ -43,6 +43,22 @@
     EXPECT_TRUE(select_slow_readers({{over_share - 1, 1000}}, kLimits).empty());
 }
 
+// Guards against a client that is neither served nor closed because its messages wait until it reads.
+TEST(SlowReader, ClosesAStalledClientWhoseMessagesWait) {
+    EXPECT_TRUE(select_slow_readers({{5'000, 19, true}, {5'000, 20, false}}, kLimits).empty());
+    EXPECT_EQ(select_slow_readers({{5'000, 20, true}}, kLimits), std::vector<std::size_t>{0});
+}
+
+TEST(SlowReader, MessagesWaitOnlyWhileTheirClientHasUnreadResponses) {
+    const std::size_t much = kLimits.total_unsent_bytes;
+    const std::size_t little = kLimits.total_unsent_bytes / 2;
+    EXPECT_FALSE(must_read_first({4'096, much, true}, kLimits));
+    EXPECT_FALSE(must_read_first({4'096, much, false}, kLimits));
+    EXPECT_TRUE(must_read_first({4'097, little, true}, kLimits));
+    EXPECT_FALSE(must_read_first({4'097, little, false}, kLimits));
+    EXPECT_TRUE(must_read_first({4'097, much, false}, kLimits));
+}
+
 TEST(SlowReader, ClosesTheLargestStalledClientsWhileAllTogetherHoldTooMuch) {
     const std::vector<ReaderSnapshot> clients{
         {kMebibyte, 2}, {4 * kMebibyte, 1}, {3 * kMebibyte, 2}, {kMebibyte, 0}};
--- a/tests/node/client_input_test.cpp
+++ b/tests/node/client_input_test.cpp
@@ -187,6 +187,71 @@
     EXPECT_EQ(sessions.counters().discarded, 0u);
 }
 
+// Guards against a node that is killed for memory because many clients send calls that are answered at once,
+// and read nothing (review case 10).
+TEST_F(ClientInput, AnswersToClientsThatDoNotReadStayWithinTheLimit) {
+    constexpr std::size_t kKernelBuffersBytes = std::size_t{8} << 20;  // more than hold answers of one client
+    constexpr std::size_t kMaxUnsentOfOne = 8'192;                     // 4 KiB, and the answers of one turn
+    std::string probes;
+    for (std::int32_t sequence = 1; sequence <= 4'000; ++sequence)
+        probes += thrift::probe_call(sequence);
+    for (std::size_t i = 0; i < kClients; ++i) {
+        clients.push_back(std::make_unique<RawSocket>());
+        clients.back()->shrink_receive_buffer();
+        clients.back()->connect(address);
+        ASSERT_TRUE(await(loop, [&] {
+            return clients.back()->connected();
+        }));
+    }
+    std::vector<std::size_t> sent(kClients, 0);
+    std::size_t most_unsent = 0;
+    const auto slow_readers = [&] {
+        return sessions.counters().closed[static_cast<std::size_t>(decide::CloseReason::slow_reader)];
+    };
+    ASSERT_TRUE(await(loop, [&] {
+        for (std::size_t i = 0; i < kClients; ++i)
+            if (sent[i] < kKernelBuffersBytes)
+                sent[i] += clients[i]->send_some(std::string_view(probes).substr(sent[i] % probes.size()));
+        most_unsent = std::max(most_unsent, sessions.unsent_bytes());
+        return slow_readers() == kClients;
+    }));
+    EXPECT_LE(most_unsent, kClients * kMaxUnsentOfOne);
+    EXPECT_EQ(sessions.unsent_bytes(), 0u);
+    EXPECT_EQ(sessions.connections(), 0u);
+}
+
+// Guards against messages that wait for good behind answers that their client has read meanwhile.
+TEST_F(ClientInput, MessagesThatWaitedAreAnsweredOnceTheirClientReads) {
+    constexpr std::int32_t kProbes = 200'000;
+    std::string calls;
+    for (std::int32_t sequence = 1; sequence <= kProbes; ++sequence)
+        calls += thrift::probe_call(sequence);
+    calls += request(1, "SELECT 1");
+    RawSocket client;
+    client.shrink_receive_buffer();
+    client.connect(address);
+    ASSERT_TRUE(await(loop, [&] {
+        return client.connected();
+    }));
+    std::size_t sent = 0;
+    std::size_t most_unsent = 0;
+    const auto send_and_look = [&] {
+        sent += client.send_some(std::string_view(calls).substr(sent));
+        most_unsent = std::max(most_unsent, sessions.unsent_bytes());
+    };
+    ASSERT_TRUE(await(loop, [&] {
+        send_and_look();
+        return sessions.unsent_bytes() > net::InputBudget::kAllowanceBytes;
+    }));
+    ASSERT_TRUE(await(loop, [&] {
+        send_and_look();
+        return !client.read() || !bodies.empty();
+    }));
+    EXPECT_EQ(bodies, std::vector<std::string>{"SELECT 1"});
+    EXPECT_LE(most_unsent, 2 * net::InputBudget::kAllowanceBytes);
+    EXPECT_EQ(sessions.connections(), 1u);
+}
+
 // Guards against a head that can't be read and whose message is never complete.
 TEST_F(ClientInput, DiscardedMessageThatIsNoCallEndsItsConnection) {
     std::string large = request(1, std::string(kLargeBodyBytes, 'x'));
