--- a/src/base/buffer.hpp
+++ b/src/base/buffer.hpp
@@ -13,7 +13,7 @@
 class Buffer {
 public:
     void append(std::string_view bytes) {
-        if (start_ > 0 && (start_ >= bytes_.size() / 2 || must_compact_small(bytes.size())))
+        if (start_ > 0 && (start_ >= bytes_.size() / 2 || should_compact_before(bytes.size())))
             compact();
         bytes_.append(bytes);
     }
@@ -73,9 +73,9 @@
 
 private:
     static constexpr std::size_t kRetainedCapacityBytes = 1024;
-    static constexpr std::size_t kCheapMoveBytes = 16 * 1024;
+    static constexpr std::size_t kCheapMoveBytes = 16'384;
     // Whether moving a few bytes saves a larger block.
-    bool must_compact_small(std::size_t appended) const {
+    bool should_compact_before(std::size_t appended) const {
         return size() <= kCheapMoveBytes && bytes_.size() + appended > bytes_.capacity();
     }
     void compact() {
--- a/src/node/engine_connection.cpp
+++ b/src/node/engine_connection.cpp
@@ -130,10 +130,6 @@
     }
 }
 
-void EngineConnection::on_sent() {
-    unsent_.clear();
-}
-
 std::size_t EngineConnection::prepare_for_sending(Exchange& exchange) {
     if (exchange.events_.may_begin(connection_number_))
         return rewrite_if_stale(exchange);
--- a/src/node/engine_connection.hpp
+++ b/src/node/engine_connection.hpp
@@ -87,7 +87,9 @@
     void on_data(Buffer& in) override;
     void on_closed(net::Closed reason) override;
     void on_sending(std::size_t max_bytes) override;
-    void on_sent() override;
+    void on_sent() override {
+        unsent_.clear();
+    }
 
     // Sending. The functions that return a size return the bytes of the request to be sent, or 0 if it was
     // withdrawn.
