Node: a client whose messages wait is closed only if it acknowledges nothing

Cause: progress was judged by what the kernel accepts, which needs a third of its buffer to be free. Change: a client whose messages wait is judged by what its machine acknowledges. ClientReading.AClientThatReadsSlowlyIsNotClosedWhileItsMessagesWait (10 KB/s for 6 s) passes, and did with the rule before too: at these figures the kernel took bytes in time. ClientInput and ClientReading pass, one that reads nothing is closed after 2.1 s.

--- a/src/decide/slow_reader.cpp
+++ b/src/decide/slow_reader.cpp
@@ -48,9 +48,10 @@
     std::vector<std::size_t> selected;
     for (const std::size_t index : stalled) {
         const ReaderSnapshot& client = clients[index];
-        const bool must_read = client.messages_wait || client.unsent_bytes > limits.unsent_bytes;
-        const bool stalled_for_long = must_read && client.stalled_checks >= kMaxStalledChecks;
-        if (!stalled_for_long && total <= limits.total_unsent_bytes)
+        const bool over_share =
+            client.unsent_bytes > limits.unsent_bytes && client.stalled_checks >= kMaxStalledChecks;
+        const bool silent = client.silent_checks >= kMaxStalledChecks;
+        if (!over_share && !silent && total <= limits.total_unsent_bytes)
             continue;
         selected.push_back(index);
         total -= client.unsent_bytes;
--- a/src/decide/slow_reader.hpp
+++ b/src/decide/slow_reader.hpp
@@ -20,8 +20,10 @@
     // Consecutive checks, this one included, at which the kernel had accepted no byte since the previous
     // check.
     int stalled_checks = 0;
-    // Messages of the client wait until it has read its responses (must_read_first).
-    bool messages_wait = false;
+    // The same checks while messages of the client wait until it has read its responses (must_read_first), if
+    // it acknowledged no byte either; 0: none wait. A slow line acknowledges bytes long before the kernel has
+    // room for more, and requests may be among those that wait.
+    int silent_checks = 0;
 };
 
 // Counts the checks at which a client has taken none of the bytes offered to it.
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -161,6 +161,11 @@
         stream_->schedule_delivery();
 }
 
+void ClientSessions::Connection::count_queued(std::size_t bytes) {
+    read_progress_.add_queued(bytes);
+    acknowledgements_.add_queued(bytes);
+}
+
 void ClientSessions::Connection::report_unsent() {
     const std::size_t unsent = stream_->unsent();
     sessions_.unsent_bytes_ += unsent;
@@ -170,7 +175,10 @@
 decide::ReaderSnapshot ClientSessions::Connection::check_reading() {
     report_unsent();
     auto snapshot = read_progress_.check(stream_->unsent());
-    snapshot.messages_wait = waits_for_client_;
+    if (waits_for_client_) {
+        const std::size_t unacknowledged = stream_->unsent() + stream_->unacknowledged().value_or(0);
+        snapshot.silent_checks = acknowledgements_.check(unacknowledged).stalled_checks;
+    }
     return snapshot;
 }
 
@@ -272,7 +280,7 @@
 void ClientSessions::Connection::queue(std::string frame) {
     const std::size_t size = frame.size();
     if (stream_->send(std::move(frame)) != 0)
-        read_progress_.add_queued(size);
+        count_queued(size);
     report_unsent();
 }
 
--- a/src/node/client_connection.hpp
+++ b/src/node/client_connection.hpp
@@ -100,6 +100,7 @@
     // Opens the sequence number of a request. Returns false after ending the connection as malformed.
     bool accept_sequence_number(std::int32_t sequence);
     void queue(std::string frame);
+    void count_queued(std::size_t bytes);
     void report_unsent();
     void end_malformed(std::int32_t sequence, thrift::Fault fault, const std::string& reason);
     Micros max_unread_wait() const;
@@ -109,11 +110,12 @@
     std::unique_ptr<net::Stream> stream_;
     decide::ClientSnapshot state_;  // without the number of open requests, which is in `sequence_numbers_`
     decide::ClientSequenceNumbers sequence_numbers_;
-    decide::ReadProgress read_progress_;
-    Micros backlog_wait_ = 0;          // maximum time spent in the listen backlog
-    bool deferred_ = false;            // complete messages wait for a later turn
-    bool waits_for_client_ = false;    // they wait until the client has read its responses
-    std::size_t reported_unsent_ = 0;  // counted in ClientSessions::unsent_bytes()
+    decide::ReadProgress read_progress_;     // bytes that the kernel accepted
+    decide::ReadProgress acknowledgements_;  // bytes that the client's machine acknowledged
+    Micros backlog_wait_ = 0;                // maximum time spent in the listen backlog
+    bool deferred_ = false;                  // complete messages wait for a later turn
+    bool waits_for_client_ = false;          // they wait until the client has read its responses
+    std::size_t reported_unsent_ = 0;        // counted in ClientSessions::unsent_bytes()
     // A malformed message has arrived: further input is discarded, and the connection closes once the
     // accepted requests have their responses.
     bool malformed_ = false;
--- a/tests/node/client_reading_test.cpp
+++ b/tests/node/client_reading_test.cpp
@@ -115,6 +115,39 @@
     EXPECT_EQ(violations, 0);
 }
 
+// Guards against closing a client on a slow line, which reads all the time, because its messages wait: the
+// kernel takes no more bytes for longer than 2 s, while the client acknowledges some all the time.
+TEST_F(ClientReading, AClientThatReadsSlowlyIsNotClosedWhileItsMessagesWait) {
+    constexpr Micros kReadInterval = 200 * kMillisecond;  // some 2 KB each time
+    constexpr Micros kDuration = 6 * kSecondMicros;
+    std::string probes;
+    for (int sequence = 1; sequence <= 400'000; ++sequence)
+        probes += thrift::probe_call(sequence);
+    RawSocket client;
+    client.shrink_receive_buffer();
+    client.connect(address);
+    ASSERT_TRUE(await(loop, [&] {
+        return client.connected();
+    }));
+    std::size_t sent = 0;
+    ASSERT_TRUE(await(loop, [&] {
+        sent += client.send_some(std::string_view(probes).substr(sent));
+        return sessions.unsent_bytes() > 4'096;
+    }));
+    const Micros end = loop.now() + kDuration;
+    Micros next_read = loop.now();
+    ASSERT_TRUE(await(loop, [&] {
+        sent += client.send_some(std::string_view(probes).substr(sent));
+        if (loop.now() >= next_read) {
+            client.read();
+            next_read = loop.now() + kReadInterval;
+        }
+        return loop.now() >= end;
+    }));
+    EXPECT_EQ(slow_readers(), 0u);
+    EXPECT_EQ(sessions.connections(), 1u);
+}
+
 // Guards against memory that grows without limit for a client whose calls need no engine.
 TEST_F(ClientReading, AClientThatSendsProbesAndReadsNothingIsClosed) {
     std::string probes;
