Say that a give_up may stand behind a call that waits for its client

Need: a comment and the postmortem said that cancelling is never delayed. Read again: messages are handled in order, so a give_up behind a probe or request that waits until its client has read its answers is read only after that.

--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -137,7 +137,8 @@
     return alive.expired() ? Reading::gone : Reading::complete;
 }
 
-// Cancelling a request is never delayed: it frees memory.
+// A cancellation does not wait itself, as it frees memory and queues no response. It may stand behind a
+// message that waits.
 bool ClientSessions::Connection::must_read_first(const thrift::Call& call) const {
     if (call.what == thrift::Call::What::give_up)
         return false;
